--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+	files: ['dist/test/**/*.test.js'],
+	timeout: '4m',
+	workerThreads: false,
+	concurrency: 3,
+};
--- /dev/null
+++ b/build.js
@@ -0,0 +1,15 @@
+// Bundles each program into one file, so that a sidecar loads only what it runs.
+import {build} from 'esbuild';
+
+const common = {
+	bundle: true,
+	platform: 'node',
+	format: 'esm',
+	target: 'node20',
+	outdir: 'bundle',
+	sourcemap: false,
+	minify: true,
+	banner: {js: 'import {createRequire} from \'node:module\';const require=createRequire(import.meta.url);'},
+};
+
+await build({...common, entryPoints: {entry: 'src/cli/entry.ts', sidecar: 'src/cli/sidecar.ts'}});
--- /dev/null
+++ b/src/adapters/clock.ts
@@ -0,0 +1,14 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {performance} from 'node:perf_hooks';
+import type {Clock} from '../ports/clock.js';
+
+/** The clock of the machine. */
+export const systemClock: Clock = {
+	now: () => Date.now(),
+	mono: () => performance.now(),
+	async sleep(ms, signal) {
+		try {
+			await sleep(ms, undefined, {signal, ref: true});
+		} catch {}
+	},
+};
--- /dev/null
+++ b/src/adapters/peers.ts
@@ -0,0 +1,130 @@
+import {setMaxListeners} from 'node:events';
+import http2 from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {
+	Code, ConnectError, createClient, type ConnectRouter, type Transport,
+} from '@connectrpc/connect';
+import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
+import {Entry, Sidecar} from '../../gen/sniperidge/v1/peer_pb.js';
+import type {
+	Call, EntryPeer, Peers, SidecarPeer,
+} from '../ports/peer.js';
+
+/** How often a connection with open requests is tried, and how long the reply may take, in milliseconds. */
+const pingMs = 3000;
+/** How long a connection without requests is kept, in milliseconds. */
+const idleMs = 60_000;
+/** The largest message between two processes, in bytes. */
+const messageLimit = 40_000_000;
+
+/** Opens other processes over HTTP/2, one kept connection an address. */
+export function openPeers(): Peers {
+	const entries = new Map<string, EntryPeer>();
+	const sidecars = new Map<string, SidecarPeer>();
+	const transports = new Map<string, Transport>();
+	const closing = new AbortController();
+	setMaxListeners(0, closing.signal);
+
+	function transport(address: string): Transport {
+		const known = transports.get(address);
+		if (known) {
+			return known;
+		}
+
+		const opened = createConnectTransport({
+			baseUrl: `http://${address}`,
+			httpVersion: '2',
+			useBinaryFormat: true,
+			acceptCompression: [],
+			pingIntervalMs: pingMs,
+			pingTimeoutMs: pingMs,
+			idleConnectionTimeoutMs: idleMs,
+			readMaxBytes: messageLimit,
+		});
+		transports.set(address, opened);
+		return opened;
+	}
+
+	const options = (call: Call) => ({timeoutMs: Math.ceil(call.timeoutMs), signal: call.signal ? AbortSignal.any([call.signal, closing.signal]) : closing.signal});
+	return {
+		entry(address) {
+			let peer = entries.get(address);
+			if (!peer) {
+				const client = createClient(Entry, transport(address));
+				peer = {
+					beat: async (request, call) => client.beat(request, options(call)),
+					join: async (request, call) => client.join(request, options(call)),
+					push: async (request, call) => client.push(request, options(call)),
+				};
+				entries.set(address, peer);
+			}
+
+			return peer;
+		},
+		sidecar(address) {
+			let peer = sidecars.get(address);
+			if (!peer) {
+				const client = createClient(Sidecar, transport(address));
+				peer = {
+					start: async (request, call) => client.start(request, options(call)),
+					cancel: async (request, call) => client.cancel(request, options(call)),
+					collect: async (request, call) => client.collect(request, options(call)),
+				};
+				sidecars.set(address, peer);
+			}
+
+			return peer;
+		},
+		close() {
+			closing.abort();
+		},
+	};
+}
+
+/** Says whether a failed request certainly never left this process. */
+export function neverLeft(error: unknown): boolean {
+	const found = ConnectError.from(error);
+	return found.code === Code.Unavailable && (found.cause as {code?: string} | undefined)?.code === 'ECONNREFUSED';
+}
+
+/** Server is a listening HTTP/2 server for other processes. */
+export type Server = {address: string; close(): Promise<void>};
+
+/** Serves methods to other processes. Resolves once it listens; `port` 0 takes any free one. */
+export async function servePeers(host: string, port: number, routes: (router: ConnectRouter) => void): Promise<Server> {
+	const sessions = new Set<http2.ServerHttp2Session>();
+	const server = http2.createServer(connectNodeAdapter({
+		routes, readMaxBytes: messageLimit, acceptCompression: [], grpc: false, grpcWeb: false,
+	}));
+	server.on('session', session => {
+		sessions.add(session);
+		session.on('close', () => {
+			sessions.delete(session);
+		});
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, host, resolve);
+	});
+	return {
+		address: `${host}:${(server.address() as AddressInfo).port}`,
+		async close() {
+			const closed = new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+			for (const session of sessions) {
+				session.close();
+			}
+
+			const force = setTimeout(() => {
+				for (const session of sessions) {
+					session.destroy();
+				}
+			}, 500);
+			await closed;
+			clearTimeout(force);
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/random.ts
@@ -0,0 +1,19 @@
+import {randomBytes} from 'node:crypto';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import type {Random} from '../ports/random.js';
+
+/** Returns a source whose numbers follow from `seed`; its identifiers are random whatever the seed. */
+export function seededRandom(seed: number): Random {
+	const generator = xoroshiro128plus(seed);
+	return {
+		next: () => uniformFloat64(generator),
+		id: () => randomBytes(16).toString('hex'),
+	};
+}
+
+/** A source that no seed repeats. */
+export const systemRandom: Random = {
+	next: () => Math.random(),
+	id: () => randomBytes(16).toString('hex'),
+};
--- /dev/null
+++ b/src/adapters/sessions.ts
@@ -0,0 +1,67 @@
+import type {Session} from '../decide/claim.js';
+import type {Clock} from '../ports/clock.js';
+import type {Row, Table} from '../ports/table.js';
+
+/** How long after a failed write it is tried again, in milliseconds. */
+const againMs = 500;
+
+/** Newcomer is a session that begins, with its identifier. */
+export type Newcomer = {id: string; session: Session};
+
+/**
+ * Writes the row of a session that begins, and ends in the same transaction every earlier session of
+ * the same name. Tries until the table service answers.
+ */
+export async function joinSession(table: Table, clock: Clock, newcomer: Newcomer, signal: AbortSignal): Promise<void> {
+	while (!signal.aborted) {
+		try {
+			if (await tryJoin(table, clock, newcomer)) {
+				return;
+			}
+		} catch {}
+
+		await clock.sleep(againMs, signal);
+	}
+}
+
+/** Writes a session as ended. Resolves to false when it was ended already. Rejects with `StoreError`. */
+export async function endSession(table: Table, clock: Clock, row: Row<Session>, ended: NonNullable<Session['ended']>): Promise<boolean> {
+	const [result] = await table.write([{
+		checks: [{table: 'sessions', key: row.key, version: row.version}],
+		changes: [{
+			kind: 'put', table: 'sessions', key: row.key, value: {...row.value, ended, endedAt: clock.now()}, ttlMs: keepEndedMs,
+		}],
+	}]);
+	return result?.kind === 'applied';
+}
+
+/** Reads one session's row. Rejects with `StoreError`. */
+export async function readSession(table: Table, id: string): Promise<Row<Session> | undefined> {
+	const {rows} = await table.list({tables: ['sessions'], prefix: id});
+	return rows[0] as Row<Session> | undefined;
+}
+
+/** How long the row of an ended session is kept, in milliseconds: longer than any claim. */
+const keepEndedMs = 3_600_000;
+
+async function tryJoin(table: Table, clock: Clock, {id, session}: Newcomer): Promise<boolean> {
+	const {rows} = await table.list({tables: ['sessions'], where: {field: 'name', value: session.name}});
+	const before = (rows as Array<Row<Session>>).filter(row => !row.value.ended && row.key !== id && row.value.kind === session.kind);
+	const [result] = await table.write([{
+		checks: before.map(row => ({table: row.table, key: row.key, version: row.version})),
+		changes: [
+			...before.map(row => ({
+				kind: 'put' as const, table: 'sessions', key: row.key, value: {...row.value, ended: 'replaced', endedAt: clock.now()}, ttlMs: keepEndedMs,
+			})),
+			{
+				kind: 'put', table: 'sessions', key: id, value: session,
+			},
+		],
+	}]);
+	return result?.kind === 'applied';
+}
+
+/** The object that a session's handover is stored under. */
+export function handoverKey(session: string): string {
+	return `handover-${session}`;
+}
--- /dev/null
+++ b/src/adapters/snapshot.ts
@@ -0,0 +1,21 @@
+import {create} from '@bufbuild/protobuf';
+import {SnapshotSchema, type Snapshot} from '../../gen/sniperidge/v1/peer_pb.js';
+import {Config} from '../decide/config.js';
+
+/** Puts a configuration into the message that carries it whole. */
+export function snapshotOf(config: Config): Snapshot {
+	return create(SnapshotSchema, {
+		version: config.version,
+		rows: config.rows().map(row => ({
+			table: row.table, key: row.key, value: JSON.stringify(row.value), version: row.version,
+		})),
+	});
+}
+
+/** Reads a configuration from the message that carries it whole. Throws `SyntaxError` when a value is not JSON. */
+export function configOf(snapshot: Snapshot): Config {
+	const rows = snapshot.rows.map(row => ({
+		table: row.table, key: row.key, value: JSON.parse(row.value) as unknown, version: row.version, created: row.version,
+	}));
+	return Config.empty.apply(rows, snapshot.version);
+}
--- /dev/null
+++ b/src/adapters/table.ts
@@ -0,0 +1,80 @@
+import {Buffer} from 'node:buffer';
+import {Pool} from 'undici';
+import {
+	StoreError, type Listing, type Query, type Table, type Transaction, type TransactionResult,
+} from '../ports/table.js';
+import type {ObjectStore} from '../ports/objects.js';
+
+/** Where the platform's service is and how long a request may take, in milliseconds. */
+export type StoreAddress = {url: string; timeoutMs: number};
+
+/** Reading and writing the platform's service over HTTP. */
+export type Store = Table & ObjectStore & {close(): Promise<void>};
+
+/** The connections a process keeps to the platform's service. */
+const connections = 4;
+
+/**
+ * Opens the platform's table service and object store. Source of the methods: the platform's
+ * published protocol, `POST /v1/transactions`, `GET /v1/rows` and `/v1/objects/{key}` with
+ * conditional requests as in RFC 9110.
+ */
+export function openStore(address: StoreAddress): Store {
+	const pool = new Pool(address.url, {connections, headersTimeout: address.timeoutMs, bodyTimeout: address.timeoutMs});
+
+	async function ask(method: 'GET' | 'POST' | 'PUT', path: string, body?: string | Uint8Array): Promise<{status: number; body: Uint8Array}> {
+		try {
+			const reply = await pool.request({
+				method, path, body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(address.timeoutMs),
+			});
+			const bytes = Buffer.from(await reply.body.arrayBuffer());
+			if (reply.statusCode >= 500) {
+				throw StoreError.create(`the platform answered ${reply.statusCode}`, false);
+			}
+
+			return {status: reply.statusCode, body: bytes};
+		} catch (error) {
+			if (error instanceof StoreError) {
+				throw error;
+			}
+
+			const refused = (error as {code?: string}).code === 'ECONNREFUSED';
+			throw StoreError.create(`the platform does not answer: ${(error as Error).message}`, !refused, error);
+		}
+	}
+
+	return {
+		async write(transactions: Transaction[]): Promise<TransactionResult[]> {
+			const reply = await ask('POST', '/v1/transactions', JSON.stringify({transactions}));
+			return (JSON.parse(Buffer.from(reply.body).toString()) as {results: TransactionResult[]}).results;
+		},
+		async list(query: Query): Promise<Listing> {
+			const search = new URLSearchParams({tables: query.tables.join(',')});
+			if (query.after !== undefined) {
+				search.set('after', String(query.after));
+			}
+
+			if (query.prefix !== undefined) {
+				search.set('prefix', query.prefix);
+			}
+
+			if (query.where) {
+				search.set('field', query.where.field);
+				search.set('value', query.where.value);
+			}
+
+			const reply = await ask('GET', `/v1/rows?${search.toString()}`);
+			return JSON.parse(Buffer.from(reply.body).toString()) as Listing;
+		},
+		async put(key, body) {
+			await ask('PUT', `/v1/objects/${encodeURIComponent(key)}`, body);
+		},
+		async get(key) {
+			const reply = await ask('GET', `/v1/objects/${encodeURIComponent(key)}`);
+			return reply.status === 404 ? undefined : reply.body;
+		},
+		async close() {
+			await pool.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/worker.ts
@@ -0,0 +1,71 @@
+import {Pool} from 'undici';
+import type {Size} from '../decide/pack.js';
+import type {Answer, Run} from '../ports/upstream.js';
+import {exchange, runHeaders} from './backend.js';
+
+/** Usage is what a worker had in use at a wall-clock time on its own clock. */
+export type Usage = {at: number; used: Size};
+
+/** RunningTask is a task that a worker says it runs. */
+export type RunningTask = {id: string; route: string; size: Size; startedAt: number};
+
+/** How long a worker may take to answer a question, in milliseconds. */
+const askMs = 2000;
+const connections = 128;
+
+/**
+ * Worker drives one worker under a lease epoch. Source of the methods: the platform's worker
+ * protocol, `PUT /v1/lease`, `POST /v1/tasks`, `GET /v1/usage` and `POST /v1/tasks/{id}/{step}`.
+ */
+export type Worker = {
+	/** Takes the lease under an epoch and returns what runs. Rejects when a higher epoch holds it. */
+	lease(owner: string, epoch: number): Promise<RunningTask[]>;
+	run(run: Run, epoch: number, signal: AbortSignal): Promise<Answer>;
+	usage(): Promise<Usage>;
+	step(id: string, step: 'throttle' | 'checkpoint' | 'stop'): Promise<void>;
+	close(): Promise<void>;
+};
+
+/** Opens a worker by its URL. */
+export function openWorker(url: string): Worker {
+	const pool = new Pool(new URL(url).origin, {connections, pipelining: 1});
+
+	async function ask(method: 'GET' | 'PUT' | 'POST', path: string, value?: unknown): Promise<unknown> {
+		const reply = await pool.request({
+			method, path, headers: {'content-type': 'application/json'}, body: value === undefined ? undefined : JSON.stringify(value), signal: AbortSignal.timeout(askMs),
+		});
+		const body = await reply.body.text();
+		if (reply.statusCode >= 300) {
+			throw new Error(`the worker answered ${reply.statusCode}: ${body}`);
+		}
+
+		return JSON.parse(body);
+	}
+
+	return {
+		async lease(owner, epoch) {
+			const reply = await ask('PUT', '/v1/lease', {owner, epoch}) as {tasks: RunningTask[]};
+			return reply.tasks;
+		},
+		run: async (run, epoch, signal) => exchange(pool, {
+			method: 'POST',
+			path: '/v1/tasks',
+			headers: {
+				...runHeaders(run),
+				'sniperidge-epoch': String(epoch),
+				'sniperidge-cores': String(run.cores),
+				'sniperidge-memory-mb': String(run.memoryMb),
+				'sniperidge-accelerators': String(run.accelerators),
+			},
+			body: run.body,
+			signal,
+		}),
+		usage: async () => await ask('GET', '/v1/usage') as Usage,
+		async step(id, step) {
+			await ask('POST', `/v1/tasks/${encodeURIComponent(id)}/${step}`, {});
+		},
+		async close() {
+			await pool.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/decide/gate.ts
@@ -0,0 +1,119 @@
+import {results} from '../results.js';
+
+/** TaskRecord is what a sidecar remembers of one task. */
+export type TaskRecord
+	= | {kind: 'queued'; attempt: number}
+		| {kind: 'running'; attempt: number}
+		| {kind: 'ended'; attempt: number}
+		| {kind: 'refused'; attempt: number; code: number};
+
+/** ClaimRecord is what a sidecar remembers of one claim. */
+export type ClaimRecord = {
+	/** The highest epoch heard; a lower one is refused. */
+	epoch: number;
+	/** A released claim is over: nothing more starts under it. */
+	released: boolean;
+	tasks: ReadonlyMap<number, TaskRecord>;
+};
+
+/** Ask is a request to start a task. */
+export type Ask = {task: number; epoch: number; attempt: number};
+
+/** Conditions are what else must hold at the moment of a start. */
+export type Conditions = {
+	draining: boolean;
+	zoneIn: boolean;
+	upstreamIn: boolean;
+	/** Whether the configuration was confirmed lately enough. */
+	confirmed: boolean;
+	/** Whether the place could begin the task now. */
+	free: boolean;
+	/** Whether the place's queue has room. */
+	room: boolean;
+};
+
+/** Verdict is what to do with a request to start. */
+export type Verdict
+	= | {kind: 'run'}
+		| {kind: 'queue'}
+	/** The task was started before: answer with what it came to, when it has. */
+		| {kind: 'join'}
+		| {kind: 'refuse'; code: number};
+
+/** The record of a claim not heard of before. */
+export const freshRecord: ClaimRecord = {epoch: 0, released: false, tasks: new Map()};
+
+/**
+ * Judges a request to start a task: the last gate before work begins.
+ *
+ * A refusal holds for every copy of the same attempt, so that a copy delayed on the way cannot
+ * start a task that its owner has placed elsewhere since.
+ */
+export function judgeStart(record: ClaimRecord, ask: Ask, conditions: Conditions): Verdict {
+	if (ask.epoch < record.epoch || record.released) {
+		return {kind: 'refuse', code: results.staleEpoch.code};
+	}
+
+	const task = record.tasks.get(ask.task);
+	switch (task?.kind) {
+		case 'queued':
+		case 'running':
+		case 'ended': {
+			return {kind: 'join'};
+		}
+
+		case 'refused': {
+			if (ask.epoch === record.epoch && ask.attempt <= task.attempt) {
+				return {kind: 'refuse', code: task.code};
+			}
+
+			break;
+		}
+
+		case undefined: {
+			break;
+		}
+	}
+
+	const code = hindrance(conditions);
+	if (code !== undefined) {
+		return {kind: 'refuse', code};
+	}
+
+	if (conditions.free) {
+		return {kind: 'run'};
+	}
+
+	return conditions.room ? {kind: 'queue'} : {kind: 'refuse', code: results.full.code};
+}
+
+/** Returns the code of what forbids any start now, if anything does. It is asked again when a queued task's turn comes. */
+export function hindrance(conditions: Pick<Conditions, 'draining' | 'zoneIn' | 'upstreamIn' | 'confirmed'>): number | undefined {
+	if (conditions.draining) {
+		return results.sidecarDraining.code;
+	}
+
+	if (!conditions.confirmed) {
+		return results.unconfirmed.code;
+	}
+
+	if (!conditions.zoneIn) {
+		return results.zoneOut.code;
+	}
+
+	return conditions.upstreamIn ? undefined : results.upstreamOut.code;
+}
+
+/** Returns the record with one task set, under the epoch of the request if that is higher. */
+export function setTask(record: ClaimRecord, task: number, state: TaskRecord, epoch = record.epoch): ClaimRecord {
+	return {...record, epoch: Math.max(epoch, record.epoch), tasks: new Map(record.tasks).set(task, state)};
+}
+
+/** Returns the record under at least this epoch. Refusals under a lower epoch stop counting. */
+export function raiseEpoch(record: ClaimRecord, epoch: number): ClaimRecord {
+	if (epoch <= record.epoch) {
+		return record;
+	}
+
+	return {...record, epoch, tasks: new Map([...record.tasks].filter(([, task]) => task.kind !== 'refused'))};
+}
--- /dev/null
+++ b/src/decide/member.ts
@@ -0,0 +1,33 @@
+/** Presence is when a sidecar was last heard and since when it has been back. Monotonic milliseconds. */
+export type Presence = {heard: number; since: number};
+
+/** Stage is how far a sidecar is trusted: live, suspected (no new work) or gone (removed). */
+export type Stage = 'live' | 'suspect' | 'gone';
+
+/** Silence after which a sidecar gets no new work. */
+export const suspectMs = 2500;
+/** Silence after which a sidecar is removed. */
+export const goneMs = 10_000;
+/** Silence after which a session is written as lost, by whoever notices. */
+export const lostMs = 30_000;
+/** How long a returned place takes to reach its full slots. */
+const rampMs = 2000;
+
+/** Says how far a sidecar is trusted after this silence. */
+export function stageOf(presence: Presence, now: number): Stage {
+	const silence = now - presence.heard;
+	if (silence < suspectMs) {
+		return 'live';
+	}
+
+	return silence < goneMs ? 'suspect' : 'gone';
+}
+
+/** Returns how many of a place's slots may be used: a returned place's grow over a while, from a quarter. */
+export function slotsNow(slots: number, returned: number | undefined, now: number): number {
+	if (returned === undefined || now - returned >= rampMs) {
+		return slots;
+	}
+
+	return Math.max(1, Math.ceil(slots * (0.25 + (0.75 * (now - returned) / rampMs))));
+}
--- /dev/null
+++ b/src/decide/retry.ts
@@ -0,0 +1,51 @@
+/** Budget is what retries and hedges may spend: a share of fresh requests, so that trouble does not multiply messages. */
+export type Budget = {tokens: number};
+
+/** The part of fresh traffic that may be sent again. */
+const share = 0.05;
+/** The tokens that may pile up while all is well. */
+const capacity = 10;
+
+/** The budget of a process that has just started. */
+export const freshBudget: Budget = {tokens: capacity / 2};
+
+/** Returns the budget after one fresh request. */
+export function earn(budget: Budget): Budget {
+	return {tokens: Math.min(capacity, budget.tokens + share)};
+}
+
+/** Returns the budget after one request sent again, or nothing when it may not be. */
+export function spend(budget: Budget): Budget | undefined {
+	return budget.tokens >= 1 ? {tokens: budget.tokens - 1} : undefined;
+}
+
+/** Fate is what becomes of a task after an answer that was not its result. */
+export type Fate = 'place-again' | 'ask-again' | 'fail';
+
+/** Loss is what came instead of a result. `unknown` means that the work may have started. */
+export type Loss = 'refused' | 'no-reply' | 'failed' | 'unknown';
+
+/**
+ * Decides the fate of a task. Only a definite refusal frees a task that must not be repeated; one
+ * whose reply is missing is asked for again at the same place.
+ */
+export function judgeLoss(loss: Loss, repeatable: boolean, mayRepeat: boolean, sessionGone: boolean): Fate {
+	switch (loss) {
+		case 'refused': {
+			return 'place-again';
+		}
+
+		case 'no-reply': {
+			if (!sessionGone) {
+				return 'ask-again';
+			}
+
+			return repeatable && mayRepeat ? 'place-again' : 'fail';
+		}
+
+		case 'failed':
+		case 'unknown': {
+			return repeatable && mayRepeat ? 'place-again' : 'fail';
+		}
+	}
+}
--- /dev/null
+++ b/src/decide/share.ts
@@ -0,0 +1,81 @@
+import {push, pop, type Heap} from './heap.js';
+
+/** Waiting is one queued task: whose it is, when it is due, and how long it should take. */
+export type Waiting = {member: string; deadline: number; costMs: number};
+
+type Line<Task> = {heap: Heap<Task>; finish: number; count: number};
+
+/**
+ * Queue holds the tasks that wait for one pool and shares the pool among members by weight.
+ *
+ * It is weighted fair queueing on service time: each member has a virtual finish time, and the
+ * lowest goes first; within a member the earliest deadline does. A member that was idle starts from
+ * the queue's present virtual time, so idleness earns nothing. Immutable.
+ */
+export class Queue<Task extends Waiting> {
+	static create<Task extends Waiting>(): Queue<Task> {
+		return new Queue(new Map(), 0, 0, 0);
+	}
+
+	private constructor(
+		private readonly lines: ReadonlyMap<string, Line<Task>>,
+		private readonly virtual: number,
+		/** The tasks that wait. */
+		readonly size: number,
+		/** The sum of their costs in milliseconds. */
+		readonly costMs: number,
+	) {}
+
+	/** Returns the queue with the task in it. */
+	add(task: Task): Queue<Task> {
+		const line = this.lines.get(task.member);
+		const idle = !line?.heap;
+		const finish = idle ? Math.max(line?.finish ?? 0, this.virtual) : line.finish;
+		const next = {heap: push(line?.heap, task.deadline, task), finish, count: (line?.count ?? 0) + 1};
+		return new Queue(new Map(this.lines).set(task.member, next), this.virtual, this.size + 1, this.costMs + task.costMs);
+	}
+
+	/** Returns the task whose turn it is, or nothing when none waits. `skip` passes over members that may not start now. */
+	first(skip?: (member: string) => boolean): Task | undefined {
+		return this.head(skip)?.[1].heap?.value;
+	}
+
+	/** Returns the queue without the first task of this member, charging its cost by the member's weight. */
+	take(member: string, weight: number): Queue<Task> {
+		const line = this.lines.get(member);
+		if (!line?.heap) {
+			return this;
+		}
+
+		const {costMs} = line.heap.value;
+		const next = {heap: pop(line.heap), finish: line.finish + (costMs / weight), count: line.count - 1};
+		return new Queue(new Map(this.lines).set(member, next), Math.max(this.virtual, line.finish), this.size - 1, this.costMs - costMs);
+	}
+
+	/** Returns the queue without the first task of this member, charging nothing: it was withdrawn. */
+	drop(member: string): Queue<Task> {
+		return this.take(member, Number.POSITIVE_INFINITY);
+	}
+
+	/** The tasks that wait for one member. */
+	countOf(member: string): number {
+		return this.lines.get(member)?.count ?? 0;
+	}
+
+	/** The members that have tasks waiting. */
+	waiting(): string[] {
+		return [...this.lines].filter(([, line]) => line.heap).map(([member]) => member);
+	}
+
+	private head(skip?: (member: string) => boolean): [string, Line<Task>] | undefined {
+		let best: [string, Line<Task>] | undefined;
+		for (const entry of this.lines) {
+			const [member, line] = entry;
+			if (line.heap && (!best || line.finish < best[1].finish) && !skip?.(member)) {
+				best = entry;
+			}
+		}
+
+		return best;
+	}
+}
--- /dev/null
+++ b/src/deferred.ts
@@ -0,0 +1,8 @@
+/** Returns a promise with its settling function apart. */
+export function deferred<Value>(): {promise: Promise<Value>; resolve(value: Value): void} {
+	let resolve!: (value: Value) => void;
+	const promise = new Promise<Value>(settle => {
+		resolve = settle;
+	});
+	return {promise, resolve};
+}
--- /dev/null
+++ b/src/entry/admin.ts
@@ -0,0 +1,288 @@
+import {timingSafeEqual, createHash} from 'node:crypto';
+import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
+import {z} from 'zod';
+import type {Clock} from '../ports/clock.js';
+import type {Random} from '../ports/random.js';
+import {
+	StoreError, type Check, type Row, type Table, type Transaction, type TransactionResult,
+} from '../ports/table.js';
+import {Failure} from '../results.js';
+import {
+	name, schemas, type ConfigTable, type Route,
+} from '../settings/schema.js';
+import type {Feed} from './feed.js';
+import {operatorDocument} from './openapi.js';
+import {parseBody, sendError} from './problem.js';
+
+/** InForce is in how many processes a version is in force, of how many known. */
+export type InForce = {entries: {inForce: number; known: number}; sidecars: {inForce: number; known: number}};
+
+/** AuditEntry is the record of one change. */
+export type AuditEntry = {
+	change: string;
+	/** Wall-clock milliseconds. */
+	at: number;
+	who: string;
+	table: ConfigTable;
+	key: string;
+	before?: unknown;
+	after?: unknown;
+};
+
+/** Parts is what the operators' port is made of. */
+export type Parts = {
+	clock: Clock;
+	random: Random;
+	table: Table;
+	feed: Feed;
+	token: string | undefined;
+	/** Hands the newest configuration to the other entries and resolves to where a version is in force. */
+	spread(version: number): Promise<InForce>;
+	status(): unknown;
+};
+
+type Change = {table: ConfigTable; key: string; after: unknown; checks: Check[]; expected: number};
+
+const waitLimitMs = 10_000;
+const lookMs = 100;
+/** How long a write whose reply was lost is tried again, in milliseconds. */
+const settleMs = 3000;
+const tables = Object.keys(schemas) as ConfigTable[];
+
+/** Builds the operators' port: the configuration tables, the audit trail, status and usage. */
+export function buildAdmin(parts: Parts): FastifyInstance {
+	const app = fastify({bodyLimit: 1_048_576, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle'});
+	app.removeAllContentTypeParsers();
+	app.addContentTypeParser('*', {parseAs: 'string'}, (_request, body, done) => {
+		done(null, body);
+	});
+	app.setErrorHandler(async (error: Error, _request, reply) => sendError(reply, error));
+	app.setNotFoundHandler(async (_request, reply) => sendError(reply, Failure.create('noRow')));
+	app.addHook('onRequest', async request => {
+		checkToken(request, parts.token);
+	});
+	const operator = new Operator(parts);
+	for (const table of tables) {
+		app.get(`/v1/admin/${table}`, async () => operator.list(table));
+		app.get(`/v1/admin/${table}/:name`, async (request, reply) => operator.get(table, nameOf(request), reply));
+		app.put(`/v1/admin/${table}/:name`, async (request, reply) => operator.put(table, request, reply));
+		app.delete(`/v1/admin/${table}/:name`, async (request, reply) => operator.delete(table, request, reply));
+	}
+
+	app.get('/v1/admin/audit', async () => operator.audit());
+	app.get('/v1/admin/usage', async () => operator.usage());
+	app.get('/v1/admin/status', async () => parts.status());
+	app.get('/openapi.json', async () => operatorDocument());
+	return app;
+}
+
+class Operator {
+	constructor(private readonly parts: Parts) {}
+
+	async list(table: ConfigTable): Promise<unknown> {
+		const rows = await this.rows(`${table}/`);
+		return {rows: rows.map(row => ({name: row.key.slice(table.length + 1), version: row.version, value: row.value}))};
+	}
+
+	async get(table: ConfigTable, key: string, reply: FastifyReply): Promise<FastifyReply> {
+		const row = await this.lookUp(table, key);
+		if (!row) {
+			throw Failure.create('noRow', `${table} has no ${key}`);
+		}
+
+		return reply.header('etag', `"${row.version}"`).send({name: key, version: row.version, value: row.value});
+	}
+
+	async put(table: ConfigTable, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const key = nameOf(request);
+		const after: unknown = parseBody(schemas[table], textOf(request), 'badChange');
+		const checks = table === 'routes' ? [await this.poolOf(after as Route)] : [];
+		return this.change(request, reply, {
+			table, key, after, checks, expected: expectedVersion(request),
+		});
+	}
+
+	async delete(table: ConfigTable, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const key = nameOf(request);
+		if (table === 'pools') {
+			await this.checkUnused(key);
+		}
+
+		return this.change(request, reply, {
+			table, key, after: undefined, checks: [], expected: expectedVersion(request),
+		});
+	}
+
+	async audit(): Promise<unknown> {
+		const {rows} = await this.parts.table.list({tables: ['audit']});
+		return {changes: rows.toSorted((a, b) => a.version - b.version).map(row => ({version: row.version, ...(row.value as AuditEntry)}))};
+	}
+
+	async usage(): Promise<unknown> {
+		const {rows} = await this.parts.table.list({tables: ['usage']});
+		return {members: rows.map(row => ({member: row.key, ...(row.value as Record<string, number>)}))};
+	}
+
+	/** Applies a change once under its id; the audit row is written in the same transaction. */
+	private async change(request: FastifyRequest, reply: FastifyReply, change: Change): Promise<FastifyReply> {
+		const {random, clock, feed} = this.parts;
+		const header = request.headers['sniperidge-change-id'];
+		const id = header === undefined ? random.id() : checkName(String(header), 'Sniperidge-Change-Id');
+		const before = await this.lookUp(change.table, change.key);
+		const entry: AuditEntry = {
+			change: id, at: clock.now(), who: whoOf(request), table: change.table, key: change.key, before: before?.value, after: change.after,
+		};
+		const result = await this.write(transactionOf(change, entry));
+		const version = result.kind === 'applied' ? result.version : await this.settle(result, change, entry);
+		await feed.refresh();
+		const inForce = await this.wait(version, Number((request.query as {waitMs?: string}).waitMs ?? 0));
+		return reply.header('etag', `"${version}"`).send({change: id, version, inForce});
+	}
+
+	/** Judges a conflict: the same change applied before is done; anything else lost a race. */
+	private async settle(result: TransactionResult & {kind: 'conflict'}, change: Change, entry: AuditEntry): Promise<number> {
+		const audit = await this.audited(entry.change);
+		if (audit) {
+			const same = audit.value.table === entry.table && audit.value.key === entry.key && JSON.stringify(audit.value.after) === JSON.stringify(entry.after);
+			if (same) {
+				return audit.version;
+			}
+
+			throw Failure.create('changeReused');
+		}
+
+		if (result.check.key !== `${change.table}/${change.key}`) {
+			throw Failure.create('badChange', `${result.check.key} changed meanwhile`);
+		}
+
+		if (!result.row && change.expected > 0 && change.after === undefined) {
+			throw Failure.create('noRow');
+		}
+
+		throw Failure.create('versionConflict', undefined, {version: result.row?.version ?? 0, current: result.row?.value});
+	}
+
+	private async write(transaction: Transaction): Promise<TransactionResult> {
+		const until = this.parts.clock.mono() + settleMs;
+		for (;;) {
+			try {
+				const [result] = await this.parts.table.write([transaction]);
+				return result!;
+			} catch (error) {
+				if (!(error instanceof StoreError) || this.parts.clock.mono() > until) {
+					throw Failure.create('changeUnknown');
+				}
+
+				await this.parts.clock.sleep(lookMs);
+			}
+		}
+	}
+
+	private async wait(version: number, waitMs: number): Promise<InForce> {
+		const {clock, spread} = this.parts;
+		const until = clock.mono() + Math.min(waitLimitMs, Math.max(0, waitMs));
+		for (;;) {
+			const {entries, sidecars} = await spread(version);
+			const everywhere = entries.inForce === entries.known && sidecars.inForce === sidecars.known;
+			if (everywhere || !(clock.mono() < until)) {
+				return {entries, sidecars};
+			}
+
+			await clock.sleep(lookMs);
+		}
+	}
+
+	private async poolOf(route: Route): Promise<Check> {
+		const pool = await this.lookUp('pools', route.pool);
+		if (!pool) {
+			throw Failure.create('badChange', `pool: there is no pool ${route.pool}`);
+		}
+
+		return {table: 'config', key: pool.key, version: pool.version};
+	}
+
+	private async checkUnused(pool: string): Promise<void> {
+		const routes = await this.rows('routes/');
+		const user = routes.find(row => (row.value as Route).pool === pool);
+		if (user) {
+			throw Failure.create('rowInUse', `${user.key} refers to the pool`);
+		}
+	}
+
+	private async lookUp(table: ConfigTable, key: string): Promise<Row | undefined> {
+		const full = `${table}/${key}`;
+		const rows = await this.rows(full);
+		return rows.find(row => row.key === full);
+	}
+
+	private async rows(prefix: string): Promise<Row[]> {
+		const {rows} = await this.parts.table.list({tables: ['config'], prefix});
+		return rows;
+	}
+
+	private async audited(change: string): Promise<Row<AuditEntry> | undefined> {
+		const {rows} = await this.parts.table.list({tables: ['audit'], prefix: change});
+		return rows.find(row => row.key === change) as Row<AuditEntry> | undefined;
+	}
+}
+
+function transactionOf(change: Change, entry: AuditEntry): Transaction {
+	const row = {table: 'config', key: `${change.table}/${change.key}`};
+	return {
+		checks: [{...row, version: change.expected}, ...change.checks, {table: 'audit', key: entry.change, version: 0}],
+		changes: [
+			change.after === undefined ? {kind: 'delete', ...row} : {kind: 'put', ...row, value: change.after},
+			{
+				kind: 'put', table: 'audit', key: entry.change, value: entry,
+			},
+		],
+	};
+}
+
+function textOf(request: FastifyRequest): string {
+	return typeof request.body === 'string' ? request.body : '';
+}
+
+function expectedVersion(request: FastifyRequest): number {
+	if (request.headers['if-none-match'] === '*') {
+		return 0;
+	}
+
+	const match = request.headers['if-match'];
+	if (match === undefined) {
+		throw Failure.create('missingVersion');
+	}
+
+	const version = Number(/^"?(\d+)"?$/v.exec(match)?.[1]);
+	if (!(version > 0)) {
+		throw Failure.create('badChange', `If-Match: a version, found ${JSON.stringify(match)}`);
+	}
+
+	return version;
+}
+
+function nameOf(request: FastifyRequest): string {
+	return checkName((request.params as {name: string}).name, 'name');
+}
+
+function checkName(value: string, field: string): string {
+	const parsed = name.safeParse(value);
+	if (!parsed.success) {
+		throw Failure.create('badChange', `${field}: ${z.prettifyError(parsed.error)}`);
+	}
+
+	return parsed.data;
+}
+
+function whoOf(request: FastifyRequest): string {
+	const who = request.headers['sniperidge-operator'];
+	return who === undefined ? 'operator' : checkName(String(who), 'Sniperidge-Operator');
+}
+
+function checkToken(request: FastifyRequest, token: string | undefined): void {
+	const digest = (text: string) => createHash('sha256').update(text).digest();
+	const given = request.headers.authorization?.replace(/^Bearer /v, '') ?? '';
+	if (!token || !timingSafeEqual(digest(given), digest(token))) {
+		throw Failure.create('noOperator');
+	}
+}
--- /dev/null
+++ b/src/entry/dispatch.ts
@@ -0,0 +1,505 @@
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import {
+	CancelRequestSchema, StartRequestSchema, type StartReply, type StartRequest,
+} from '../../gen/sniperidge/v1/peer_pb.js';
+import {neverLeft} from '../adapters/peers.js';
+import {handoverKey} from '../adapters/sessions.js';
+import type {Load} from '../decide/admit.js';
+import type {Item} from '../decide/claim.js';
+import {Estimate} from '../decide/estimate.js';
+import {
+	choose, chooseBaseline, isFree, type Candidate, type Choice, type Policy,
+} from '../decide/place.js';
+import {
+	earn, freshBudget, judgeLoss, spend, type Loss,
+} from '../decide/retry.js';
+import {Queue, type Waiting} from '../decide/share.js';
+import type {Clock} from '../ports/clock.js';
+import type {ObjectStore} from '../ports/objects.js';
+import type {Peers} from '../ports/peer.js';
+import type {Random} from '../ports/random.js';
+import {results} from '../results.js';
+import type {HandedTask} from '../sidecar/gate.js';
+import type {Feed} from './feed.js';
+import {
+	hinderedPauseMs, refusedPauseMs, type Roster, type Seat,
+} from './roster.js';
+import type {Run, TaskEnd} from './run.js';
+
+/** Counters of a dispatcher, for the metrics. */
+export type Counts = {sent: number; refused: number; askedAgain: number; placedAgain: number; hedges: number; hedgesLost: number; cancels: number; dropped: number};
+
+/** Parts is what a dispatcher is made of. */
+export type Parts = {clock: Clock; random: Random; peers: Peers; objects: ObjectStore; feed: Feed};
+
+/** Options of a dispatcher. */
+export type Options = {policy: Policy; hedge: boolean; zone: string};
+
+type Task = Waiting & {
+	run: Run;
+	index: number;
+	attempt: number;
+	hedged: boolean;
+	/** How many copies of the task are out, shared by a hedge and its first. */
+	flight: {out: number};
+};
+type Reply = {loss?: Loss; reply?: StartReply; detail: string; handed?: HandedTask};
+type Target = Pick<Seat, 'session' | 'address'> & {place: string};
+type Line = {queue: Queue<Task>; turn: number; workMs: number; running: number};
+
+/** How long the reply to a start may come after the deadline, and the pauses between copies, in milliseconds. */
+const graceMs = 1000;
+const againMs = 60;
+const againMostMs = 500;
+/** So many refused connections in a row mean that the sidecar's process is gone. */
+const deafLimit = 3;
+/** How many waiting tasks a round of choices may pass over. */
+const lookahead = 8;
+/** How often waiting tasks are looked at without cause, in milliseconds. */
+const pumpMs = 50;
+/** A repeatable request is hedged after this many times its expected time, and no sooner than so many milliseconds. */
+const hedgeAfter = 3;
+const hedgeLeastMs = 100;
+/** The most releases that one start carries. */
+const releasesAtOnce = 50;
+
+/** Dispatch holds the queues of all pools, places what waits and follows it to its end. */
+export class Dispatch {
+	static create(parts: Parts, options: Options): Dispatch {
+		return new Dispatch(parts, options);
+	}
+
+	readonly counts: Counts = {
+		sent: 0, refused: 0, askedAgain: 0, placedAgain: 0, hedges: 0, hedgesLost: 0, cancels: 0, dropped: 0,
+	};
+
+	estimate = Estimate.create();
+	roster!: Roster;
+	private readonly lines = new Map<string, Line>();
+	private readonly releases = new Map<string, string[]>();
+	private budget = freshBudget;
+	private readonly timer: NodeJS.Timeout;
+
+	private constructor(private readonly parts: Parts, private readonly options: Options) {
+		this.timer = setInterval(() => {
+			this.pump(this.lines.keys());
+		}, pumpMs);
+	}
+
+	/** Queues the tasks of a run that are not sent or ended, and follows them until the run ends. */
+	enter(run: Run, tasks: Iterable<number>): void {
+		const {work} = run;
+		const line = this.line(work.settings.pool);
+		const costMs = this.estimate.taskMs(work.route, work.settings.expectMs);
+		run.onEnd(() => {
+			this.withdraw(run);
+		});
+		this.expireAt(run);
+		for (const index of tasks) {
+			this.budget = earn(this.budget);
+			line.queue = line.queue.add({
+				member: work.member, deadline: work.deadline, costMs, run, index, attempt: 1, hedged: false, flight: {out: 0},
+			});
+		}
+
+		this.pump([work.settings.pool]);
+	}
+
+	/** Asks a session for a task that it was found to run. */
+	follow(run: Run, index: number, session: string, address: string): void {
+		run.send(index, session, address);
+		const costMs = this.estimate.taskMs(run.work.route, run.work.settings.expectMs);
+		const task: Task = {
+			member: run.work.member, deadline: run.work.deadline, costMs, run, index, attempt: 1, hedged: true, flight: {out: 1},
+		};
+		void this.exchange(task, {session, address, place: ''}).then(result => {
+			this.settle(task, undefined, result);
+		});
+	}
+
+	/** Places what can be placed now in these pools. */
+	pump(pools: Iterable<string>): void {
+		for (const pool of pools) {
+			const line = this.lines.get(pool);
+			if (line && line.queue.size > 0) {
+				this.pumpLine(pool, line);
+			}
+		}
+	}
+
+	/** What waits and runs for a pool, and how fast it is worked off. */
+	load(pool: string): Load {
+		const line = this.line(pool);
+		let slots = 0;
+		let rate = 0;
+		for (const seat of this.roster.serving(pool)) {
+			const own = seat.report.kind === 'worker' ? Math.max(1, seat.report.running) + Math.floor(Math.max(0, seat.report.freeCores)) : seat.report.slots;
+			slots += own;
+			rate += own / this.estimate.slowness(seat.id);
+		}
+
+		const share = 1 / Math.max(1, this.parts.feed.entries().length);
+		return {
+			queued: line.queue.size,
+			queueLimit: this.parts.feed.config.tables.pools.get(pool)?.value.queue ?? 0,
+			workMs: line.queue.costMs + (line.workMs / 2),
+			rate: rate * share,
+			slots: slots * share,
+			running: line.running,
+		};
+	}
+
+	/** Tells the sidecars, with later starts, that what they hold for a claim may go. */
+	release(claim: string, sessions: Iterable<string>): void {
+		for (const session of sessions) {
+			const list = this.releases.get(session) ?? [];
+			list.push(claim);
+			this.releases.set(session, list);
+		}
+	}
+
+	/** Stops placing. */
+	close(): void {
+		clearInterval(this.timer);
+	}
+
+	private line(pool: string): Line {
+		const known = this.lines.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const line: Line = {
+			queue: Queue.create<Task>(), turn: 0, workMs: 0, running: 0,
+		};
+		this.lines.set(pool, line);
+		return line;
+	}
+
+	private expireAt(run: Run): void {
+		const timer = setTimeout(() => {
+			run.expire();
+		}, Math.max(0, run.work.deadline - this.parts.clock.mono()));
+		run.onEnd(() => {
+			clearTimeout(timer);
+		});
+	}
+
+	private pumpLine(pool: string, line: Line): void {
+		const passed: Task[] = [];
+		const rounds = new Map<string, Candidate[]>();
+		const now = this.parts.clock.mono();
+		while (passed.length < lookahead) {
+			const task = line.queue.first();
+			if (!task) {
+				break;
+			}
+
+			if (!task.run.waits(task.index)) {
+				line.queue = line.queue.drop(task.member);
+				continue;
+			}
+
+			const {route, settings} = task.run.work;
+			let candidates = rounds.get(route);
+			if (!candidates) {
+				candidates = this.roster.candidates(pool, settings, place => this.estimate.slowness(place));
+				rounds.set(route, candidates);
+			}
+
+			if (!candidates.some(candidate => isFree(candidate, now))) {
+				break;
+			}
+
+			const choice = this.choose(candidates, task, line, now);
+			if (choice.kind === 'none') {
+				break;
+			}
+
+			const candidate = candidates.find(({id}) => id === choice.id)!;
+			if (choice.kind === 'wait') {
+				candidate.reserved++;
+				passed.push(task);
+				line.queue = line.queue.drop(task.member);
+				continue;
+			}
+
+			candidate.running++;
+			line.queue = line.queue.take(task.member, this.parts.feed.config.tables.members.get(task.member)?.value.weight ?? 1);
+			this.send(task, line, this.roster.seats.get(choice.id)!);
+		}
+
+		for (const task of passed) {
+			line.queue = line.queue.add(task);
+		}
+	}
+
+	private choose(candidates: readonly Candidate[], task: Task, line: Line, now: number): Choice {
+		const {policy, zone} = this.options;
+		if (policy === 'finish') {
+			return choose(candidates, {taskMs: task.costMs, zone}, now, this.parts.random.next());
+		}
+
+		line.turn++;
+		const free = candidates.filter(candidate => candidate.standing !== 'closed' && isFree(candidate, now));
+		return chooseBaseline(policy, free, line.turn, this.parts.random.next());
+	}
+
+	private send(task: Task, line: Line, seat: Seat): void {
+		task.run.send(task.index, seat.session, seat.address);
+		task.flight.out++;
+		this.roster.send(seat);
+		line.running++;
+		line.workMs += task.costMs;
+		const hedge = this.armHedge(task, seat);
+		const target = {session: seat.session, address: seat.address, place: seat.id};
+		void this.exchange(task, target).then(result => {
+			clearTimeout(hedge);
+			task.run.back(task.index, seat.address);
+			line.running--;
+			line.workMs -= task.costMs;
+			this.roster.receive(seat, result.reply?.place);
+			this.settle(task, seat, result);
+			this.pump([task.run.work.settings.pool]);
+		});
+	}
+
+	/** Sends a start and, while no reply comes, its copies to the same place; resolves to what is known in the end. */
+	private async exchange(task: Task, target: Target): Promise<Reply> {
+		const {run} = task;
+		const peer = this.parts.peers.sidecar(target.address);
+		let deaf = 0;
+		for (let copies = 1, pause = againMs; ; copies++, pause = Math.min(pause * 2, againMostMs)) {
+			const left = run.work.deadline - this.parts.clock.mono();
+			this.counts[copies === 1 ? 'sent' : 'askedAgain']++;
+			try {
+				const reply = await peer.start(this.request(task, target, left), {timeoutMs: Math.max(left, 0) + graceMs});
+				return this.sort(task, reply, copies);
+			} catch (error) {
+				if (copies === 1 && neverLeft(error)) {
+					return {loss: 'refused', detail: 'the sidecar does not listen'};
+				}
+
+				if (run.ended) {
+					return {loss: 'unknown', detail: 'the run has ended'};
+				}
+
+				deaf = neverLeft(error) ? deaf + 1 : 0;
+				if (deaf >= deafLimit || this.roster.gone(target.session) || this.roster.silent(target.session, run.work.repeatable)) {
+					return this.lookUp(task, target);
+				}
+			}
+
+			await this.parts.clock.sleep(pause);
+		}
+	}
+
+	private request(task: Task, target: Target, left: number): StartRequest {
+		const {work} = task.run;
+		const body = work.bodies[task.index]!;
+		return create(StartRequestSchema, {
+			claim: work.claim,
+			task: task.index,
+			epoch: work.epoch,
+			attempt: task.attempt,
+			place: target.place,
+			session: target.session,
+			route: work.route,
+			member: work.member,
+			budgetMs: left,
+			body: body.bytes,
+			contentType: body.contentType,
+			cores: work.settings.cores,
+			memoryMb: work.settings.memoryMb,
+			accelerators: work.settings.accelerators,
+			repeatable: work.repeatable,
+			keyed: work.keyed,
+			releases: this.releases.get(target.session)?.splice(0, releasesAtOnce),
+		});
+	}
+
+	/** Matches a reply with what was asked; one that belongs elsewhere counts as none. */
+	private sort(task: Task, reply: StartReply, copies: number): Reply {
+		const {work} = task.run;
+		const {detail} = reply;
+		if (reply.claim !== work.claim || reply.task !== task.index) {
+			this.counts.dropped++;
+			return {loss: 'unknown', detail: 'the reply belongs to another task'};
+		}
+
+		switch (reply.state) {
+			case 'done': {
+				return {reply, detail};
+			}
+
+			case 'refused': {
+				const unsure = reply.code === results.wrongSession.code && copies > 1;
+				return {reply, loss: unsure ? 'no-reply' : 'refused', detail};
+			}
+
+			case 'failed': {
+				return {reply, loss: 'failed', detail};
+			}
+
+			default: {
+				return {reply, loss: 'unknown', detail};
+			}
+		}
+	}
+
+	/** Looks a task up in what a session handed over when it ended gracefully. */
+	private async lookUp(task: Task, target: Target): Promise<Reply> {
+		const {claim} = task.run.work;
+		if (this.parts.feed.sessions.get(target.session)?.value.ended !== 'graceful') {
+			return {loss: 'no-reply', detail: 'the sidecar is gone'};
+		}
+
+		try {
+			const object = await this.parts.objects.get(handoverKey(target.session));
+			const handed = object && (JSON.parse(Buffer.from(object).toString()) as HandedTask[]);
+			const found = handed?.find(other => other.claim === claim && other.task === task.index);
+			return found ? {loss: 'no-reply', detail: 'ended at a sidecar that has left', handed: found} : {loss: handed ? 'refused' : 'no-reply', detail: 'the sidecar has left'};
+		} catch {
+			return {loss: 'no-reply', detail: 'the handover cannot be read'};
+		}
+	}
+
+	private settle(task: Task, seat: Seat | undefined, result: Reply): void {
+		const {run, index} = task;
+		const {reply, loss, handed} = result;
+		task.flight.out--;
+		if (run.ended) {
+			this.counts[task.hedged ? 'hedgesLost' : 'dropped']++;
+			return;
+		}
+
+		if (handed) {
+			run.end(index, endOfHanded(handed));
+			return;
+		}
+
+		if (!loss) {
+			this.learn(task, seat, reply!);
+			run.end(index, {kind: 'done', item: itemOf(reply!, seat?.id ?? reply!.place?.name ?? '')});
+			return;
+		}
+
+		if (reply?.code === results.staleEpoch.code) {
+			run.end(index, {kind: 'superseded'});
+			return;
+		}
+
+		this.lose(task, seat, loss, result);
+	}
+
+	private lose(task: Task, seat: Seat | undefined, loss: Loss, {detail, reply}: Reply): void {
+		const {run, index} = task;
+		if (seat) {
+			this.blame(seat, loss, reply?.code ?? 0);
+		}
+
+		if (task.flight.out > 0) {
+			return;
+		}
+
+		const budget = spend(this.budget);
+		const fate = judgeLoss(loss, run.work.repeatable, budget !== undefined, true);
+		if (fate !== 'place-again') {
+			run.end(index, loss === 'failed' ? {kind: 'failed', detail} : {kind: 'unknown', detail});
+			return;
+		}
+
+		if (loss === 'refused') {
+			this.counts.refused++;
+		} else {
+			this.budget = budget ?? this.budget;
+		}
+
+		this.counts.placedAgain++;
+		run.giveBack(index);
+		const line = this.line(run.work.settings.pool);
+		line.queue = line.queue.add({...task, attempt: task.attempt + 1});
+	}
+
+	private blame(seat: Seat, loss: Loss, code: number): void {
+		if (loss !== 'refused') {
+			this.roster.judge(seat, false);
+			return;
+		}
+
+		const pause = code === results.full.code ? refusedPauseMs : hinderedPauseMs;
+		seat.notBefore = this.parts.clock.mono() + pause;
+	}
+
+	private learn(task: Task, seat: Seat | undefined, reply: StartReply): void {
+		if (seat) {
+			this.roster.judge(seat, true);
+			this.estimate = this.estimate.observe(task.run.work.route, seat.id, reply.ranMs, task.run.work.settings.expectMs);
+		}
+	}
+
+	private armHedge(task: Task, seat: Seat): NodeJS.Timeout | undefined {
+		if (!this.options.hedge || !task.run.work.repeatable || task.hedged) {
+			return undefined;
+		}
+
+		const expected = task.costMs * this.estimate.slowness(seat.id);
+		return setTimeout(() => {
+			this.hedge(task, seat);
+		}, Math.max(hedgeLeastMs, expected * hedgeAfter));
+	}
+
+	/** Starts a second copy of a repeatable request elsewhere, if a free place and the budget allow it. */
+	private hedge(task: Task, first: Seat): void {
+		const {pool} = task.run.work.settings;
+		const now = this.parts.clock.mono();
+		const candidates = this.roster.candidates(pool, task.run.work.settings, place => this.estimate.slowness(place))
+			.filter(candidate => candidate.id !== first.id && candidate.standing === 'open' && isFree(candidate, now));
+		const choice = choose(candidates, {taskMs: task.costMs, zone: this.options.zone}, now, this.parts.random.next());
+		const budget = spend(this.budget);
+		if (choice.kind !== 'go' || !budget || task.run.ended) {
+			return;
+		}
+
+		this.budget = budget;
+		this.counts.hedges++;
+		this.send({...task, attempt: task.attempt + 1, hedged: true}, this.line(pool), this.roster.seats.get(choice.id)!);
+	}
+
+	/** Withdraws what a run that ended has out; the queues drop the rest when they come to it. */
+	private withdraw(run: Run): void {
+		const {work} = run;
+		for (const [address, tasks] of run.out()) {
+			this.counts.cancels++;
+			const request = create(CancelRequestSchema, {claim: work.claim, epoch: work.epoch, tasks});
+			void this.parts.peers.sidecar(address).cancel(request, {timeoutMs: graceMs}).catch(() => undefined);
+		}
+	}
+}
+
+function itemOf(reply: StartReply, place: string): Item {
+	return {
+		body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place, ranMs: reply.ranMs,
+	};
+}
+
+function endOfHanded(handed: HandedTask): TaskEnd {
+	switch (handed.state) {
+		case 'done': {
+			return {
+				kind: 'done', item: {
+					body: handed.body, contentType: handed.contentType, place: handed.place, ranMs: handed.ranMs,
+				},
+			};
+		}
+
+		case 'failed': {
+			return {kind: 'failed', detail: handed.detail};
+		}
+
+		default: {
+			return {kind: 'unknown', detail: handed.detail};
+		}
+	}
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,304 @@
+import type {AddressInfo} from 'node:net';
+import {create} from '@bufbuild/protobuf';
+import type {FastifyInstance} from 'fastify';
+import type {Logger} from 'pino';
+import {Entry as EntryService, JoinRequestSchema, PushReplySchema} from '../../gen/sniperidge/v1/peer_pb.js';
+import {Batch} from '../adapters/batch.js';
+import {systemClock} from '../adapters/clock.js';
+import {openPeers, servePeers, type Server} from '../adapters/peers.js';
+import {seededRandom, systemRandom} from '../adapters/random.js';
+import {endSession, joinSession, readSession} from '../adapters/sessions.js';
+import {configOf, snapshotOf} from '../adapters/snapshot.js';
+import {openStore, type Store} from '../adapters/table.js';
+import type {Session} from '../decide/claim.js';
+import {rendezvous} from '../decide/rendezvous.js';
+import type {Clock} from '../ports/clock.js';
+import type {Peers} from '../ports/peer.js';
+import type {Random} from '../ports/random.js';
+import type {Row} from '../ports/table.js';
+import type {EntrySettings} from '../settings/schema.js';
+import {buildAdmin, type InForce} from './admin.js';
+import {Dispatch} from './dispatch.js';
+import {Feed} from './feed.js';
+import {buildFront} from './front.js';
+import {Jobs} from './jobs.js';
+import {Ledger} from './ledger.js';
+import {Meters} from './metrics.js';
+import {Roster} from './roster.js';
+import {Meter} from './usage.js';
+
+/** How often the other processes are looked after, in milliseconds. */
+const tickMs = 1000;
+/** How long another entry may be silent before its session is written as lost, in milliseconds. */
+const entryLostMs = 15_000;
+const pingMs = 1000;
+/** How long a stopping entry goes on serving after it stopped being ready, so that a balancer sees it, in milliseconds. */
+const lingerMs = 200;
+
+/** Entry takes callers' requests and operators' changes, and dispatches tasks to sidecars. */
+export class Entry {
+	/** Starts an entry. Resolves once it listens; it is ready when it has joined and read the configuration. */
+	static async create(settings: EntrySettings, log: Logger, operatorToken: string | undefined, clock: Clock = systemClock): Promise<Entry> {
+		const entry = new Entry(settings, log, operatorToken, clock);
+		await entry.listen();
+		return entry;
+	}
+
+	readonly roster: Roster;
+	readonly feed: Feed;
+	readonly dispatch: Dispatch;
+	readonly jobs: Jobs;
+	readonly batch: Batch;
+	private readonly session = systemRandom.id();
+	private readonly random: Random;
+	private readonly store: Store;
+	private readonly peers: Peers = openPeers();
+	private readonly meter: Meter;
+	private readonly meters = Meters.create();
+	private readonly stopping = new AbortController();
+	private readonly front: FastifyInstance;
+	private readonly admin: FastifyInstance;
+	private readonly heard = new Map<string, number>();
+	private readonly swept = new Set<string>();
+	private server!: Server;
+	private timer: NodeJS.Timeout | undefined;
+	private joined = false;
+	private stopped: Promise<void> | undefined;
+
+	private constructor(private readonly settings: EntrySettings, private readonly log: Logger, operatorToken: string | undefined, private readonly clock: Clock) {
+		const {session, peers} = this;
+		const {signal} = this.stopping;
+		this.random = settings.seed === undefined ? systemRandom : seededRandom(settings.seed);
+		const {random} = this;
+		this.store = openStore(settings.store);
+		const {store} = this;
+		this.batch = Batch.create(store, clock);
+		const {batch} = this;
+		this.feed = Feed.create(store, clock, config => {
+			log.info({version: config.version}, 'configuration in force');
+			this.dispatch.pump(config.tables.pools.keys());
+		});
+		const {feed} = this;
+		this.dispatch = Dispatch.create({
+			clock, random, peers, objects: store, feed,
+		}, {policy: settings.policy, hedge: settings.hedge, zone: settings.zone});
+		const {dispatch} = this;
+		this.roster = Roster.create(clock, feed, session, pools => {
+			this.dispatch.pump(pools);
+		});
+		dispatch.roster = this.roster;
+		this.meter = Meter.create(batch, clock, session);
+		const {meter} = this;
+		const ledger = Ledger.create({
+			session, clock, store, batch, peers, feed, windowMs: settings.claimWindowMs, signal,
+		});
+		this.jobs = Jobs.create({
+			session, clock, random, peers, feed, dispatch, ledger, meter,
+		});
+		const {jobs} = this;
+		this.meters.watch({
+			feed, jobs, dispatch, roster: this.roster, batch,
+		});
+		this.front = buildFront({
+			clock, feed, jobs, meters: this.meters, maxBodyBytes: settings.maxBodyBytes, ready: () => this.ready,
+		});
+		this.admin = buildAdmin({
+			clock, random, table: store, feed, token: operatorToken, spread: async version => this.spread(version), status: () => this.status(),
+		});
+	}
+
+	/** The URL for callers. */
+	get callersUrl(): string {
+		return urlOf(this.front);
+	}
+
+	/** The URL for operators. */
+	get operatorsUrl(): string {
+		return urlOf(this.admin);
+	}
+
+	/** The address for other processes, `host:port`. */
+	get address(): string {
+		return this.server.address;
+	}
+
+	/** Whether it takes work. */
+	get ready(): boolean {
+		return this.joined && !this.jobs.draining;
+	}
+
+	/** Stops gracefully: takes nothing new, finishes what is under way, writes outcomes and usage, leaves. */
+	async stop(): Promise<void> {
+		this.stopped ??= this.drain();
+		await this.stopped;
+	}
+
+	private async drain(): Promise<void> {
+		const {clock, jobs, settings, log} = this;
+		jobs.draining = true;
+		log.info({underWay: jobs.size}, 'draining');
+		const until = clock.mono() + settings.drainMs;
+		await clock.sleep(lingerMs);
+		while (!jobs.idle && clock.mono() < until) {
+			await clock.sleep(20);
+		}
+
+		await this.front.close();
+		await Promise.race([this.meter.flush(this.stopping.signal), clock.sleep(2000)]);
+		await this.leave();
+		clearInterval(this.timer);
+		this.dispatch.close();
+		this.stopping.abort();
+		await this.admin.close();
+		await this.server.close();
+		this.peers.close();
+		await this.store.close();
+		log.info('stopped');
+	}
+
+	private async listen(): Promise<void> {
+		const {settings} = this;
+		this.server = await servePeers(settings.host, settings.ports.peers, router => {
+			router.service(EntryService, {
+				beat: request => this.roster.beat(request),
+				join: async request => this.jobs.join(request),
+				push: request => {
+					this.feed.take(configOf(request));
+					return create(PushReplySchema, {version: this.feed.config.version});
+				},
+			});
+		});
+		await this.front.listen({host: settings.host, port: settings.ports.callers});
+		await this.admin.listen({host: settings.host, port: settings.ports.operators});
+		void this.enroll();
+	}
+
+	private async enroll(): Promise<void> {
+		const {settings, clock, store, session, stopping, feed} = this;
+		const row: Session = {
+			kind: 'entry', name: settings.name, zone: settings.zone, address: this.address, pools: [], at: clock.now(),
+		};
+		await joinSession(store, clock, {id: session, session: row}, stopping.signal);
+		if (stopping.signal.aborted) {
+			return;
+		}
+
+		await feed.refresh();
+		void feed.follow(stopping.signal);
+		void this.meter.follow(stopping.signal);
+		this.joined = true;
+		this.log.info({session, address: this.address, zone: settings.zone}, 'joined');
+		this.timer = setInterval(() => {
+			void this.tick();
+		}, tickMs);
+	}
+
+	private async leave(): Promise<void> {
+		try {
+			const row = await readSession(this.store, this.session);
+			if (row) {
+				await endSession(this.store, this.clock, row, 'graceful');
+			}
+		} catch (error) {
+			this.log.warn({reason: (error as Error).message}, 'left without ending the session');
+		}
+	}
+
+	/** Looks after the other processes: writes lost sessions as ended and closes the claims of lost entries. */
+	private async tick(): Promise<void> {
+		const {feed, roster} = this;
+		const lost = roster.sweep();
+		this.dispatch.estimate = this.dispatch.estimate.prune(place => roster.seats.has(place));
+		const others = feed.entries().filter(row => row.key !== this.session);
+		await Promise.all(others.map(async row => this.ping(row)));
+		const now = this.clock.mono();
+		const silent = others.filter(row => now - (this.heard.get(row.key) ?? now) > entryLostMs).map(row => row.key);
+		if (feed.readable) {
+			await Promise.all([...lost, ...silent].map(async session => this.endLost(session)));
+			await this.sweepOrphans();
+		}
+	}
+
+	private async ping(row: Row<Session>): Promise<void> {
+		if (!this.heard.has(row.key)) {
+			this.heard.set(row.key, this.clock.mono());
+		}
+
+		try {
+			const reply = await this.peers.entry(row.value.address).join(create(JoinRequestSchema, {}), {timeoutMs: pingMs});
+			if (reply.session === row.key) {
+				this.heard.set(row.key, this.clock.mono());
+			}
+		} catch {
+			// Its silence is counted from when it was last heard.
+		}
+	}
+
+	private async endLost(session: string): Promise<void> {
+		const row = this.feed.sessions.get(session);
+		try {
+			if (row && await endSession(this.store, this.clock, row, 'lost')) {
+				this.log.warn({session, name: row.value.name, kind: row.value.kind}, 'session lost');
+			}
+		} catch {
+			// Tried again at the next tick.
+		}
+	}
+
+	private async sweepOrphans(): Promise<void> {
+		const entries = this.feed.entries().map(row => row.key);
+		for (const [session, {value}] of this.feed.sessions) {
+			const due = value.kind === 'entry' && value.ended !== undefined && value.ended !== 'graceful' && !this.swept.has(session);
+			if (due && rendezvous(session, entries) === this.session) {
+				this.swept.add(session);
+				try {
+					const closed = await this.jobs.sweep(session);
+					this.log.info({session, closed}, 'orphaned claims closed');
+				} catch {
+					this.swept.delete(session);
+				}
+			}
+		}
+	}
+
+	private async spread(version: number): Promise<InForce> {
+		const snapshot = snapshotOf(this.feed.config);
+		const others = this.feed.entries().filter(row => row.key !== this.session);
+		const versions = await Promise.all(others.map(async row => {
+			try {
+				const reply = await this.peers.entry(row.value.address).push(snapshot, {timeoutMs: pingMs});
+				return reply.version;
+			} catch {
+				return 0;
+			}
+		}));
+		const inForce = [this.feed.config.version, ...versions].filter(other => other >= version).length;
+		return {entries: {inForce, known: others.length + 1}, sidecars: this.roster.inForce(version)};
+	}
+
+	private status(): unknown {
+		const {feed, roster, dispatch, jobs} = this;
+		const now = this.clock.mono();
+		return {
+			session: this.session,
+			version: feed.config.version,
+			readable: feed.readable,
+			ageMs: Math.round(feed.ageMs),
+			underWay: jobs.size,
+			entries: feed.entries().map(({key, value}) => ({
+				session: key, name: value.name, zone: value.zone, address: value.address,
+			})),
+			sidecars: [...roster.attendances].map(([session, attendance]) => ({
+				session, zone: attendance.zone, address: attendance.address, stage: attendance.stage, draining: attendance.draining, version: attendance.version, silentMs: Math.round(now - attendance.heard),
+			})),
+			places: [...roster.seats.values()].map(seat => ({
+				name: seat.id, zone: seat.zone, kind: seat.report.kind, pools: seat.report.pools, slots: seat.report.slots, running: seat.report.running, mine: seat.mine, slowness: Number(dispatch.estimate.slowness(seat.id).toFixed(2)), ejected: seat.health.until > now,
+			})),
+		};
+	}
+}
+
+function urlOf(app: FastifyInstance): string {
+	const {address, port} = app.server.address() as AddressInfo;
+	return `http://${address}:${port}`;
+}
--- /dev/null
+++ b/src/entry/feed.ts
@@ -0,0 +1,94 @@
+import {Config} from '../decide/config.js';
+import type {Session} from '../decide/claim.js';
+import type {Clock} from '../ports/clock.js';
+import type {Row, Table} from '../ports/table.js';
+
+/** How often the tables are read, in milliseconds. */
+const pollMs = 500;
+
+/** Feed follows the configuration and the sessions in the platform's table. */
+export class Feed {
+	static create(table: Table, clock: Clock, changed: (config: Config) => void): Feed {
+		return new Feed(table, clock, changed);
+	}
+
+	config = Config.empty;
+	/** Every session whose row is known, ended ones included. */
+	readonly sessions = new Map<string, Row<Session>>();
+	/** Whether the last read brought an answer. */
+	readable = false;
+	private readAt = Number.NEGATIVE_INFINITY;
+	private after = 0;
+	private reading: Promise<void> | undefined;
+
+	private constructor(private readonly table: Table, private readonly clock: Clock, private readonly changed: (config: Config) => void) {}
+
+	/** Milliseconds since the moment as of which the configuration was read. */
+	get ageMs(): number {
+		return this.clock.mono() - this.readAt;
+	}
+
+	/** Reads again and again until `signal` aborts. */
+	async follow(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const due = this.clock.mono() + pollMs;
+			await this.refresh();
+			await this.clock.sleep(Math.max(50, due - this.clock.mono()), signal);
+		}
+	}
+
+	/** Reads what changed since the last read. Never rejects: `readable` tells. */
+	async refresh(): Promise<void> {
+		this.reading ??= this.read();
+		await this.reading;
+		this.reading = undefined;
+	}
+
+	/** Takes a configuration that another entry pushed, if it is newer. */
+	take(config: Config): void {
+		if (config.version > this.config.version) {
+			this.config = config;
+			this.changed(config);
+		}
+	}
+
+	/** The addresses of the entries whose sessions have not ended. */
+	entries(): Array<Row<Session>> {
+		return this.live('entry');
+	}
+
+	/** The live sidecar sessions of a zone. */
+	neighbours(zone: string): string[] {
+		return this.live('sidecar').filter(row => row.value.zone === zone).map(row => row.key);
+	}
+
+	private live(kind: Session['kind']): Array<Row<Session>> {
+		return [...this.sessions.values()].filter(({value}) => value.kind === kind && !value.ended);
+	}
+
+	private async read(): Promise<void> {
+		const at = this.clock.mono();
+		try {
+			const listing = await this.table.list({tables: ['config', 'sessions'], after: this.after});
+			this.after = listing.version;
+			this.readAt = at;
+			this.readable = true;
+			this.takeRows(listing.rows);
+		} catch {
+			this.readable = false;
+		}
+	}
+
+	private takeRows(rows: readonly Row[]): void {
+		for (const row of rows) {
+			if (row.table === 'sessions') {
+				this.sessions.set(row.key, row as Row<Session>);
+			}
+		}
+
+		const changes = rows.filter(row => row.table === 'config');
+		if (changes.length > 0) {
+			this.take(this.config.apply(changes, Math.max(...changes.map(row => row.version))));
+		}
+	}
+}
--- /dev/null
+++ b/src/entry/front.ts
@@ -0,0 +1,212 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
+import {z} from 'zod';
+import type {Item} from '../decide/claim.js';
+import type {Clock} from '../ports/clock.js';
+import {Failure, resultOf, results} from '../results.js';
+import {name, type Route} from '../settings/schema.js';
+import type {Feed} from './feed.js';
+import type {Answered, Jobs, Submission} from './jobs.js';
+import type {Meters} from './metrics.js';
+import {callerDocument} from './openapi.js';
+import {
+	parseBody, sendError, sendOutcome, stamp,
+} from './problem.js';
+import type {Body} from './run.js';
+
+/** The most tasks that a job may have. */
+export const taskLimit = 270;
+
+const deadlineLimitMs = 600_000;
+
+/** The body of `PUT /v1/jobs/{key}`. */
+export const jobSchema = z.strictObject({
+	route: name,
+	deadlineMs: z.number().positive().max(deadlineLimitMs).optional(),
+	tasks: z.array(z.strictObject({
+		body: z.string(),
+		encoding: z.enum(['utf8', 'base64']).default('utf8'),
+		contentType: z.string().max(200).regex(/^[\u0020-\u007E]+$/v, 'printable ASCII').default('application/json'),
+	})).min(1).max(taskLimit),
+});
+
+/** A job's key: no slash, no control character, at most 200 characters. */
+export const keySchema = z.string().regex(/^[\w.:\-]{1,200}$/v, 'only letters, digits, dot, colon, dash and underscore, at most 200');
+
+/** Parts is what the callers' port is made of. */
+export type Parts = {clock: Clock; feed: Feed; jobs: Jobs; meters: Meters; maxBodyBytes: number; ready(): boolean};
+
+/** Builds the callers' port: jobs, requests, health, metrics and the OpenAPI document. */
+export function buildFront(parts: Parts): FastifyInstance {
+	const app = fastify({bodyLimit: parts.maxBodyBytes, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle'});
+	app.removeAllContentTypeParsers();
+	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
+		done(null, body);
+	});
+	app.setErrorHandler(async (error: Error, _request, reply) => sendError(reply, error));
+	app.setNotFoundHandler(async (_request, reply) => sendError(reply, Failure.create('notFound')));
+	app.addHook('onResponse', async (request, reply) => {
+		parts.meters.answered(request.routeOptions.url ?? '', String(reply.getHeader('sniperidge-result') ?? ''));
+	});
+	const front = new Front(parts);
+	app.put('/v1/jobs/:key', async (request, reply) => front.put(request, reply));
+	app.get('/v1/jobs/:key', async (request, reply) => front.get(request, reply));
+	app.delete('/v1/jobs/:key', async (request, reply) => front.cancel(request, reply));
+	app.post('/v1/routes/:route', async (request, reply) => front.post(request, reply));
+	app.get('/openapi.json', async () => callerDocument());
+	app.get('/livez', async () => 'ok\n');
+	app.get('/readyz', async (_request, reply) => reply.code(parts.ready() ? 200 : 503).send(parts.ready() ? 'ready\n' : 'not ready\n'));
+	app.get('/metrics', async (_request, reply) => reply.type(parts.meters.contentType).send(await parts.meters.text()));
+	return app;
+}
+
+class Front {
+	constructor(private readonly parts: Parts) {}
+
+	async put(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const member = this.memberOf(request);
+		const key = keyOf(request);
+		const text = Buffer.from(bytesOf(request)).toString();
+		const job = parseBody(jobSchema, text, 'badInput');
+		const settings = this.routeOf(job.route, member);
+		const bodies = job.tasks.map(task => ({bytes: Buffer.from(task.body, task.encoding), contentType: task.contentType}));
+		checkSizes(bodies, settings);
+		const submission = {
+			member, key, hash: hashOf(job.route, bodies), route: job.route, settings, repeatable: false, bodies, deadline: this.deadline(request, job.deadlineMs ?? settings.deadlineMs),
+		};
+		const {jobs} = this.parts;
+		const prefersAsync = String(request.headers.prefer ?? '').includes('respond-async');
+		const answered = prefersAsync ? await jobs.accept(submission) : await jobs.submit(submission);
+		this.count(submission, answered);
+		return this.answerJob(reply, key, answered);
+	}
+
+	async get(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const member = this.memberOf(request);
+		const key = keyOf(request);
+		return this.answerJob(reply, key, await this.parts.jobs.look(member, key));
+	}
+
+	async cancel(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const member = this.memberOf(request);
+		const key = keyOf(request);
+		return this.answerJob(reply, key, await this.parts.jobs.cancel(member, key));
+	}
+
+	async post(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
+		const member = this.memberOf(request);
+		const {route} = (request.params as {route: string});
+		const settings = this.routeOf(route, member);
+		const bytes = bytesOf(request);
+		const bodies = [{bytes, contentType: String(request.headers['content-type'] ?? 'application/octet-stream')}];
+		checkSizes(bodies, settings);
+		const idempotencyKey = request.headers['idempotency-key'];
+		const key = idempotencyKey === undefined ? undefined : `request:${check(keySchema, String(idempotencyKey), 'Idempotency-Key')}`;
+		const submission: Submission = {
+			member, key, hash: hashOf(route, bodies), route, settings, repeatable: settings.repeatable && key === undefined, bodies, deadline: this.deadline(request, settings.deadlineMs),
+		};
+		const answered = await this.parts.jobs.submit(submission);
+		this.count(submission, answered);
+		const [item] = answered.items ?? [];
+		if (answered.code !== results.complete.code || !item) {
+			return sendOutcome(reply, answered);
+		}
+
+		stamp(reply, resultOf(answered.code));
+		return reply.code(200).type(item.contentType).header('sniperidge-place', item.place).send(Buffer.from(item.body, 'base64'));
+	}
+
+	private async answerJob(reply: FastifyReply, key: string, answered: Answered): Promise<FastifyReply> {
+		const result = resultOf(answered.code);
+		if (result.kind === 'complete') {
+			stamp(reply, result);
+			return reply.code(200).send({
+				result: result.code, name: result.name, key, tasks: (answered.items ?? []).map(item => shown(item)),
+			});
+		}
+
+		if (result.kind === 'pending') {
+			stamp(reply, result);
+			return reply.code(result.status).header('location', `/v1/jobs/${key}`).send({result: result.code, name: result.name, key});
+		}
+
+		return sendOutcome(reply, answered, {key});
+	}
+
+	private memberOf(request: FastifyRequest): string {
+		const [, token] = /^Bearer (.+)$/v.exec(request.headers.authorization ?? '') ?? [];
+		const member = token && this.parts.feed.config.memberOf(createHash('sha256').update(token).digest('hex'));
+		if (!member) {
+			throw Failure.create('noToken');
+		}
+
+		return member;
+	}
+
+	private routeOf(route: string, member: string): Route {
+		const settings = this.parts.feed.config.tables.routes.get(check(name, route, 'route'))?.value;
+		if (!settings) {
+			throw Failure.create('noRoute', `there is no route ${route}`);
+		}
+
+		if (settings.members && !settings.members.includes(member)) {
+			throw Failure.create('notAllowed');
+		}
+
+		return settings;
+	}
+
+	private deadline(request: FastifyRequest, ordinaryMs: number): number {
+		const header = request.headers['sniperidge-deadline-ms'];
+		const ms = header === undefined ? ordinaryMs : Number(header);
+		if (!(ms > 0 && ms <= deadlineLimitMs)) {
+			throw Failure.create('badInput', `Sniperidge-Deadline-Ms: a number of milliseconds from now, over 0 and up to ${deadlineLimitMs}, found ${JSON.stringify(header)}`);
+		}
+
+		return this.parts.clock.mono() + ms;
+	}
+
+	private count(submission: Submission, answered: Answered): void {
+		this.parts.meters.result(submission.route, submission.member, answered.code);
+	}
+}
+
+function bytesOf(request: FastifyRequest): Uint8Array {
+	return request.body instanceof Uint8Array ? request.body : new Uint8Array();
+}
+
+function keyOf(request: FastifyRequest): string {
+	return check(keySchema, (request.params as {key: string}).key, 'key');
+}
+
+function check(schema: z.ZodString, value: string, field: string): string {
+	const parsed = schema.safeParse(value);
+	if (!parsed.success) {
+		throw Failure.create('badInput', `${field}: ${parsed.error.issues[0]?.message ?? ''}, found ${JSON.stringify(value).slice(0, 100)}`);
+	}
+
+	return parsed.data;
+}
+
+function checkSizes(bodies: readonly Body[], settings: Route): void {
+	const large = bodies.findIndex(body => body.bytes.length > settings.maxBodyBytes);
+	if (large !== -1) {
+		throw Failure.create('bodyTooLarge', `task ${large}: at most ${settings.maxBodyBytes} bytes, found ${bodies[large]!.bytes.length}`);
+	}
+}
+
+function hashOf(route: string, bodies: readonly Body[]): string {
+	const hash = createHash('sha256').update(route);
+	for (const body of bodies) {
+		hash.update(`\n${body.contentType} ${body.bytes.length}\n`).update(body.bytes);
+	}
+
+	return hash.digest('hex');
+}
+
+function shown(item: Item): Item & {encoding: 'utf8' | 'base64'} {
+	const text = /^(?:text\/|application\/json)/v.test(item.contentType);
+	return {...item, body: text ? Buffer.from(item.body, 'base64').toString() : item.body, encoding: text ? 'utf8' : 'base64'};
+}
+
--- /dev/null
+++ b/src/entry/ledger.ts
@@ -0,0 +1,226 @@
+import {Buffer} from 'node:buffer';
+import type {Batch} from '../adapters/batch.js';
+import type {Store} from '../adapters/table.js';
+import {
+	closeClaim, insertClaim, judgeClaim, takeClaim, type Claim, type Item, type Outcome, type Owned, type Usage,
+} from '../decide/claim.js';
+import type {Clock} from '../ports/clock.js';
+import type {Peers} from '../ports/peer.js';
+import type {Row, Transaction, TransactionResult} from '../ports/table.js';
+import {resultOf, results} from '../results.js';
+import type {Feed} from './feed.js';
+import {collectClaim, type Found} from './takeover.js';
+
+/** Claimed is what came of claiming a job. */
+export type Claimed
+	/** Nobody has claimed it, and this entry was told not to. */
+	= | {kind: 'absent'}
+	/** The table gave no answer. The claim may or may not have been written. */
+		| {kind: 'unavailable'}
+		| {kind: 'reused'}
+		| {kind: 'ended'; outcome: Outcome}
+	/** This entry owns it; `found` is there when it was taken from another. */
+		| {kind: 'owned'; owned: Owned; found?: Found}
+		| {kind: 'held'; owner: string};
+
+/** Manner is how a job is claimed: not at all when `lookOnly`, and over the heads of `dead` owners; deadline in monotonic milliseconds. */
+export type Manner = {lookOnly: boolean; dead: ReadonlySet<string>; deadline: number};
+
+/** Closed is what came of writing an outcome. */
+export type Closed = 'closed' | 'superseded' | 'unavailable';
+
+/** Parts is what a ledger is made of. */
+export type Parts = {
+	session: string;
+	clock: Clock;
+	store: Store;
+	batch: Batch;
+	peers: Peers;
+	feed: Feed;
+	/** How long a claim and its outcome are kept, in milliseconds. */
+	windowMs: number;
+	/** Aborts when the process ends. */
+	signal: AbortSignal;
+};
+
+/** Outcomes up to so many bytes stay in the claim's row; larger ones go to the object store. */
+const inlineLimit = 65_536;
+/** How long after a failed write it is tried again, in milliseconds. */
+const againMs = 250;
+/** How long claiming a job may take where its deadline allows more, in milliseconds. */
+const patienceMs = 5000;
+
+/** Ledger claims jobs in the platform's table, takes claims over and closes them. */
+export class Ledger {
+	static create(parts: Parts): Ledger {
+		return new Ledger(parts);
+	}
+
+	private constructor(private readonly parts: Parts) {}
+
+	/**
+	 * Claims a job, or finds out who has. With `lookOnly` an absent claim is left absent, which
+	 * proves that a refusal is true. A claim whose owner is among `dead`, or has ended, is taken over.
+	 */
+	async claim(key: string, claim: Claim, {lookOnly, dead, deadline}: Manner): Promise<Claimed> {
+		const insert = insertClaim(key, claim, this.parts.windowMs);
+		const result = await this.write(lookOnly ? {...insert, changes: []} : insert, deadline);
+		if (!result) {
+			return {kind: 'unavailable'};
+		}
+
+		if (result.kind === 'applied') {
+			return lookOnly ? {kind: 'absent'} : {kind: 'owned', owned: {key, claim, version: result.version}};
+		}
+
+		const row = result.row as Row<Claim>;
+		const standing = judgeClaim(row, claim, code => resultOf(code).kind === 'not-run');
+		switch (standing.kind) {
+			case 'own': {
+				return {kind: 'owned', owned: {key, claim: row.value, version: row.version}};
+			}
+
+			case 'reopen': {
+				return lookOnly ? {kind: 'absent'} : this.take(row, claim.nonce, false);
+			}
+
+			case 'held': {
+				const {owner} = standing;
+				const over = dead.has(owner) || owner === this.parts.session || this.parts.feed.sessions.get(owner)?.value.ended !== undefined;
+				return over ? this.take(row, claim.nonce, true) : {kind: 'held', owner};
+			}
+
+			case 'reused':
+			case 'ended': {
+				return standing;
+			}
+		}
+	}
+
+	/**
+	 * Raises a claim's epoch and makes this entry its owner; then collects what was started under it
+	 * where anything may have been. The order is docs/DESIGN.md, "Takeover".
+	 */
+	async take(row: Row<Claim>, nonce: string, collect: boolean): Promise<Claimed> {
+		const {parts} = this;
+		const {transaction, claim} = takeClaim(row, parts.session, nonce, parts.windowMs);
+		const result = await this.write(transaction, parts.clock.mono() + patienceMs);
+		if (!result) {
+			return {kind: 'unavailable'};
+		}
+
+		const now = result.kind === 'conflict' ? result.row as Row<Claim> | undefined : undefined;
+		if (result.kind === 'conflict' && now?.value.nonce !== nonce) {
+			return {kind: 'held', owner: now?.value.owner ?? row.value.owner};
+		}
+
+		const owned = {key: row.key, claim, version: now?.version ?? (result as {version: number}).version};
+		try {
+			return {kind: 'owned', owned, found: collect ? await collectClaim(row.key, claim, parts) : undefined};
+		} catch {
+			return {kind: 'unavailable'};
+		}
+	}
+
+	/** Closes a claim with its outcome and usage. A patient close goes on until the table answers. */
+	async close(owned: Owned, full: Outcome, usage: Usage | undefined, patient: boolean): Promise<Closed> {
+		const {parts} = this;
+		for (let tries = 0; tries < (patient ? Number.POSITIVE_INFINITY : 1) && !parts.signal.aborted; tries++) {
+			try {
+				const outcome = await this.stow(owned, full);
+				const transaction = closeClaim(owned, outcome, usage, parts.windowMs);
+				const result = await parts.batch.write(transaction, patient);
+				const row = result.kind === 'conflict' ? result.row as Row<Claim> | undefined : undefined;
+				return result.kind === 'applied' || (row?.value.nonce === owned.claim.nonce && row.value.state === 'closed') ? 'closed' : 'superseded';
+			} catch {
+				await parts.clock.sleep(patient ? againMs : 0, parts.signal);
+			}
+		}
+
+		return 'unavailable';
+	}
+
+	/**
+	 * Closes as not run a claim whose insertion brought no answer, if it took effect. One that was
+	 * taken over is left alone, since its earlier owner may have started tasks.
+	 */
+	async abandon(key: string, nonce: string): Promise<void> {
+		while (!this.parts.signal.aborted) {
+			try {
+				const row = await this.read(key);
+				if (row?.value.nonce === nonce && row.value.state === 'open' && row.value.epoch === 1) {
+					await this.close({key, claim: row.value, version: row.version}, {code: results.storeUnavailable.code}, undefined, true);
+				}
+
+				return;
+			} catch {
+				await this.parts.clock.sleep(againMs, this.parts.signal);
+			}
+		}
+	}
+
+	/** Reads one claim. Rejects with `StoreError`. */
+	async read(key: string): Promise<Row<Claim> | undefined> {
+		const {rows} = await this.parts.store.list({tables: ['claims'], prefix: key});
+		return rows.find(row => row.key === key) as Row<Claim> | undefined;
+	}
+
+	/** Lists the open claims of a session. Rejects with `StoreError`. */
+	async orphans(owner: string): Promise<Array<Row<Claim>>> {
+		const {rows} = await this.parts.store.list({tables: ['claims'], where: {field: 'owner', value: owner}});
+		return (rows as Array<Row<Claim>>).filter(row => row.value.state === 'open');
+	}
+
+	/** Returns an outcome with its items, from the object store where they are there. */
+	async load(outcome: Outcome): Promise<Outcome> {
+		if (outcome.object === undefined) {
+			return outcome;
+		}
+
+		try {
+			const object = await this.parts.store.get(outcome.object);
+			return object ? {...outcome, items: JSON.parse(Buffer.from(object).toString()) as Item[]} : {code: results.unknown.code, detail: 'the answer is no longer stored'};
+		} catch {
+			return {code: results.unknown.code, detail: 'the job has ended and its answer cannot be read now'};
+		}
+	}
+
+	/** Moves a large outcome to the object store and returns what goes into the row. */
+	private async stow(owned: Owned, outcome: Outcome): Promise<Outcome> {
+		const size = (outcome.items ?? []).reduce((sum, item) => sum + item.body.length, 0);
+		if (size <= inlineLimit) {
+			return outcome;
+		}
+
+		const object = `answer-${owned.claim.nonce}`;
+		await this.parts.store.put(object, Buffer.from(JSON.stringify(outcome.items)));
+		return {code: outcome.code, detail: outcome.detail, object};
+	}
+
+	/**
+	 * Writes one transaction, again while no answer comes and the table was lately heard. A write
+	 * that took effect unseen shows as a conflict with its own nonce.
+	 */
+	private async write(transaction: Transaction, deadline: number): Promise<TransactionResult | undefined> {
+		const {clock, batch, feed} = this.parts;
+		const until = Math.min(deadline, clock.mono() + patienceMs);
+		while (feed.readable && clock.mono() < until) {
+			const result = await Promise.race([attempt(batch, transaction), clock.sleep(until - clock.mono())]);
+			if (result) {
+				return result;
+			}
+
+			await clock.sleep(againMs);
+		}
+
+		return undefined;
+	}
+}
+
+async function attempt(batch: Batch, transaction: Transaction): Promise<TransactionResult | undefined> {
+	try {
+		return await batch.write(transaction);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/entry/metrics.ts
@@ -0,0 +1,69 @@
+import {Counter, Gauge, Registry} from 'prom-client';
+import type {Batch} from '../adapters/batch.js';
+import type {Dispatch} from './dispatch.js';
+import type {Feed} from './feed.js';
+import type {Jobs} from './jobs.js';
+import type {Roster} from './roster.js';
+
+/** Parts is what an entry's metrics read. */
+export type Parts = {feed: Feed; jobs: Jobs; dispatch: Dispatch; roster: Roster; batch: Batch};
+
+/** Meters is an entry's metrics in the Prometheus text format. */
+export class Meters {
+	static create(): Meters {
+		return new Meters();
+	}
+
+	private readonly registry = new Registry();
+	private readonly results = new Counter({
+		name: 'sniperidge_requests_total', help: 'Jobs and requests by route, member and result.', labelNames: ['route', 'member', 'result'], registers: [this.registry],
+	});
+
+	private readonly answers = new Counter({
+		name: 'sniperidge_responses_total', help: 'Responses by path and result.', labelNames: ['path', 'result'], registers: [this.registry],
+	});
+
+	/** The media type of the text. */
+	get contentType(): string {
+		return this.registry.contentType;
+	}
+
+	/** Resolves to all metrics as text. */
+	async text(): Promise<string> {
+		return this.registry.metrics();
+	}
+
+	/** Counts the result of a job or request. */
+	result(route: string, member: string, code: number): void {
+		this.results.inc({route, member, result: String(code)});
+	}
+
+	/** Counts a response. */
+	answered(path: string, result: string): void {
+		this.answers.inc({path, result});
+	}
+
+	/** Reads the rest from the parts whenever the metrics are asked for. */
+	watch({feed, jobs, dispatch, roster, batch}: Parts): void {
+		this.gauge('sniperidge_dispatch_total', 'What the dispatcher did.', () => Object.entries(dispatch.counts), 'event');
+		this.gauge('sniperidge_place_running', 'Tasks of this entry by place.', () => [...roster.seats.values()].map(seat => [seat.id, seat.mine]), 'place');
+		this.gauge('sniperidge_place_slots', 'Slots by place.', () => [...roster.seats.values()].map(seat => [seat.id, seat.report.slots]), 'place');
+		this.gauge('sniperidge_queued', 'Tasks that wait, by pool.', () => [...feed.config.tables.pools.keys()].map(pool => [pool, dispatch.load(pool).queued]), 'pool');
+		this.gauge('sniperidge_store_writes_total', 'Batches written to the table service.', () => [['batch', batch.writes]], 'kind');
+		this.gauge('sniperidge_under_way', 'Jobs and requests under way.', () => [['all', jobs.size]], 'kind');
+		this.gauge('sniperidge_config_version', 'The configuration in force.', () => [['entry', feed.config.version]], 'process');
+		this.gauge('sniperidge_config_age_seconds', 'Time since the configuration was read.', () => [['entry', feed.ageMs / 1000]], 'process');
+	}
+
+	private gauge(name: string, help: string, read: () => Array<[string, number]>, label: string): void {
+		const gauge = new Gauge({
+			name, help, labelNames: [label], registers: [this.registry],
+			collect() {
+				gauge.reset();
+				for (const [key, value] of read()) {
+					gauge.set({[label]: key}, value);
+				}
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/problem.ts
@@ -0,0 +1,76 @@
+import type {FastifyReply} from 'fastify';
+import type {z} from 'zod';
+import type {Outcome} from '../decide/claim.js';
+import {
+	Failure, resultOf, results, type Result,
+} from '../results.js';
+import {describe} from '../settings/load.js';
+
+/** Particulars of a problem: what was wrong, further members of the document, and when to come back, in milliseconds. */
+export type Particulars = {detail?: string; extra?: Record<string, unknown>; retryMs?: number};
+
+/** Answers with a problem document (RFC 9457) that carries the numbered result. */
+export async function sendProblem(reply: FastifyReply, result: Result, {detail = result.text, extra, retryMs}: Particulars = {}): Promise<FastifyReply> {
+	stamp(reply, result, retryMs);
+	return reply.code(result.status).type('application/problem+json').send({
+		type: `urn:sniperidge:result:${result.code}`,
+		title: result.text,
+		status: result.status,
+		detail,
+		result: result.code,
+		name: result.name,
+		kind: result.kind,
+		resubmit: result.resubmit,
+		...(retryMs === undefined ? {} : {retryMs: Math.ceil(retryMs)}),
+		...extra,
+	});
+}
+
+/** Answers with the problem document of an outcome that is not complete. */
+export async function sendOutcome(reply: FastifyReply, outcome: Outcome & {retryMs?: number}, extra: Record<string, unknown> = {}): Promise<FastifyReply> {
+	const result = resultOf(outcome.code);
+	return sendProblem(reply, result, {detail: outcome.detail, extra, retryMs: outcome.retryMs});
+}
+
+/** Sets the headers that every response carries: the result, and when to come back. */
+export function stamp(reply: FastifyReply, result: Result, retryMs?: number): void {
+	void reply.header('sniperidge-result', String(result.code));
+	if (result.resubmit === 'later' || retryMs !== undefined) {
+		void reply.header('retry-after', String(Math.max(1, Math.ceil((retryMs ?? 1000) / 1000))));
+	}
+}
+
+/** Answers with whatever was thrown: a failure as it is, a body over the limit, or bad input. */
+export async function sendError(reply: FastifyReply, error: Error & {code?: string; statusCode?: number}): Promise<FastifyReply> {
+	if (error instanceof Failure) {
+		return sendProblem(reply, error.result, {detail: error.message, extra: error.extra});
+	}
+
+	if (error.name === 'StoreError') {
+		return sendProblem(reply, resultOf(results.storeUnavailable.code), {detail: error.message});
+	}
+
+	if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
+		return sendProblem(reply, resultOf(results.bodyTooLarge.code), {detail: error.message});
+	}
+
+	const code = (error.statusCode ?? 500) < 500 ? results.badInput.code : results.unknown.code;
+	return sendProblem(reply, resultOf(code), {detail: error.message});
+}
+
+/** Parses JSON by a schema. Throws `Failure` with the fields that are wrong. */
+export function parseBody<Schema extends z.ZodType>(schema: Schema, text: string, name: 'badInput' | 'badChange'): z.infer<Schema> {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch (error) {
+		throw Failure.create(name, `the body is not JSON: ${(error as Error).message}`);
+	}
+
+	const parsed = schema.safeParse(value);
+	if (!parsed.success) {
+		throw Failure.create(name, parsed.error.issues.map(issue => describe(issue, value)).join('; '));
+	}
+
+	return parsed.data;
+}
--- /dev/null
+++ b/src/entry/roster.ts
@@ -0,0 +1,265 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	BeatReplySchema, type BeatReply, type BeatRequest, type Place,
+} from '../../gen/sniperidge/v1/peer_pb.js';
+import {snapshotOf} from '../adapters/snapshot.js';
+import {
+	healthy, observe, probe, standingOf, type Health,
+} from '../decide/eject.js';
+import {
+	lostMs, stageOf, type Presence, type Stage,
+} from '../decide/member.js';
+import type {Candidate} from '../decide/place.js';
+import type {Clock} from '../ports/clock.js';
+import type {Feed} from './feed.js';
+
+/** Seat is a place as this entry sees it: a sidecar's upstream or worker. */
+export type Seat = {
+	/** The place's name; a place that comes back keeps what was learned of it. */
+	id: string;
+	session: string;
+	address: string;
+	zone: string;
+	/** How the place stood when last told. */
+	report: Place;
+	/** The tasks that this entry has there. */
+	mine: number;
+	/** The tasks that this entry had there when the report came. */
+	mineThen: number;
+	health: Health;
+	returned?: number;
+	notBefore: number;
+};
+
+/** Attendance is a sidecar session as this entry sees it. */
+export type Attendance = Presence & {address: string; zone: string; draining: boolean; version: number; stage: Stage};
+
+/** TaskSize is what a task takes of a worker. */
+export type TaskSize = {cores: number; memoryMb: number; accelerators: number};
+
+/** How long a place that refused for being full is passed over, in milliseconds. */
+export const refusedPauseMs = 15;
+/** How long a place that cannot start anything now is passed over, in milliseconds. */
+export const hinderedPauseMs = 300;
+
+/** Roster is the sidecars that announce themselves to this entry, and their places. */
+export class Roster {
+	static create(clock: Clock, feed: Feed, session: string, changed: (pools: Iterable<string>) => void): Roster {
+		return new Roster(clock, feed, session, changed);
+	}
+
+	readonly seats = new Map<string, Seat>();
+	readonly attendances = new Map<string, Attendance>();
+	private readonly started: number;
+
+	private constructor(
+		private readonly clock: Clock,
+		private readonly feed: Feed,
+		private readonly session: string,
+		private readonly changed: (pools: Iterable<string>) => void,
+	) {
+		this.started = clock.mono();
+	}
+
+	/** Takes a sidecar's announcement and answers with the configuration it lacks. */
+	beat(request: BeatRequest): BeatReply {
+		const {feed} = this;
+		const ended = feed.sessions.get(request.session)?.value.ended !== undefined;
+		if (!ended) {
+			this.attend(request);
+		}
+
+		return create(BeatReplySchema, {
+			session: this.session,
+			stamp: request.stamp,
+			ageMs: feed.ageMs,
+			readable: feed.readable,
+			version: feed.config.version,
+			snapshot: request.version < feed.config.version ? snapshotOf(feed.config) : undefined,
+			ended,
+			entries: feed.entries().map(row => row.value.address),
+			neighbours: feed.neighbours(request.zone),
+		});
+	}
+
+	/** Lists the places of a pool that may get a task of this size, as candidates for the choice. */
+	candidates(pool: string, size: TaskSize, slowness: (place: string) => number): Candidate[] {
+		const now = this.clock.mono();
+		const {config} = this.feed;
+		const candidates: Candidate[] = [];
+		for (const seat of this.seats.values()) {
+			if (!seat.report.pools.includes(pool) || !config.zoneIn(seat.zone) || !config.upstreamIn(seat.id) || !this.serves(seat)) {
+				continue;
+			}
+
+			const running = runningAt(seat);
+			candidates.push({
+				id: seat.id,
+				zone: seat.zone,
+				slots: seat.report.kind === 'worker' ? running + roomFor(seat, size) : seat.report.slots,
+				running,
+				reserved: 0,
+				slowness: slowness(seat.id),
+				standing: standingOf(seat.health, now),
+				returned: seat.returned,
+				notBefore: seat.notBefore,
+			});
+		}
+
+		return candidates;
+	}
+
+	/** The seats of a pool that are in service, whether free or not. */
+	serving(pool: string): Seat[] {
+		const {config} = this.feed;
+		return [...this.seats.values()].filter(seat => seat.report.pools.includes(pool) && config.zoneIn(seat.zone) && config.upstreamIn(seat.id) && this.serves(seat));
+	}
+
+	/** Notes that a task goes to a seat. */
+	send(seat: Seat): void {
+		seat.mine++;
+		if (seat.health.until > 0) {
+			seat.health = probe(seat.health);
+		}
+	}
+
+	/** Notes that a task came back from a seat, and how the place stands now. */
+	receive(seat: Seat, report: Place | undefined): void {
+		seat.mine--;
+		if (report) {
+			this.update(seat, report);
+		}
+	}
+
+	/** Notes whether a place did its work. */
+	judge(seat: Seat, ok: boolean): void {
+		const pool = seat.report.pools[0] ?? '';
+		const others = this.serving(pool);
+		const ejected = others.filter(other => other.health.until > 0).length;
+		seat.health = observe(seat.health, ok, this.clock.mono(), (ejected + 1) * 2 <= others.length);
+	}
+
+	/** Whether a session has ended, so that nothing more can be asked of it. */
+	gone(session: string): boolean {
+		return this.feed.sessions.get(session)?.value.ended !== undefined;
+	}
+
+	/** Whether a sidecar has been silent for so long that nothing is expected of it; sooner for what may be repeated. */
+	silent(session: string, repeatable: boolean): boolean {
+		const attendance = this.attendances.get(session);
+		const stage = attendance ? stageOf(attendance, this.clock.mono()) : 'gone';
+		return stage === 'gone' || (repeatable && stage === 'suspect');
+	}
+
+	/** Moves sidecars from live to suspected to gone, and returns the sessions silent for so long that they count as lost. */
+	sweep(): string[] {
+		const now = this.clock.mono();
+		const lost: string[] = [];
+		for (const [session, attendance] of this.attendances) {
+			attendance.stage = stageOf(attendance, now);
+			if (this.gone(session)) {
+				this.remove(session);
+			} else if (attendance.stage === 'gone') {
+				this.unseat(session);
+			}
+		}
+
+		for (const [session, {value}] of this.feed.sessions) {
+			const heard = this.attendances.get(session)?.heard ?? this.started;
+			if (value.kind === 'sidecar' && !value.ended && now - heard > lostMs) {
+				lost.push(session);
+			}
+		}
+
+		return lost;
+	}
+
+	/** How many sidecars have this configuration in force, of how many. */
+	inForce(version: number): {inForce: number; known: number} {
+		const live = [...this.attendances.values()].filter(attendance => attendance.stage === 'live');
+		return {inForce: live.filter(attendance => attendance.version >= version).length, known: live.length};
+	}
+
+	private serves(seat: Seat): boolean {
+		const attendance = this.attendances.get(seat.session);
+		return attendance?.stage === 'live' && !attendance.draining;
+	}
+
+	private attend(request: BeatRequest): void {
+		const now = this.clock.mono();
+		const known = this.attendances.get(request.session);
+		const since = known?.stage === 'live' ? known.since : now;
+		this.attendances.set(request.session, {
+			heard: now, since, address: request.address, zone: request.zone, draining: request.draining, version: request.version, stage: 'live',
+		});
+		for (const report of request.places) {
+			this.seat(request, report, now);
+		}
+
+		const names = new Set(request.places.map(place => place.name));
+		for (const seat of this.seats.values()) {
+			if (seat.session === request.session && !names.has(seat.id)) {
+				this.seats.delete(seat.id);
+			}
+		}
+
+		this.changed(request.places.flatMap(place => place.pools));
+	}
+
+	private seat(request: BeatRequest, report: Place, now: number): void {
+		const known = this.seats.get(report.name);
+		if (known?.session === request.session) {
+			this.update(known, report);
+			return;
+		}
+
+		const joining = now - this.started > lostMs;
+		this.seats.set(report.name, {
+			id: report.name,
+			session: request.session,
+			address: request.address,
+			zone: request.zone,
+			report,
+			mine: 0,
+			mineThen: 0,
+			health: healthy,
+			returned: joining ? now : undefined,
+			notBefore: 0,
+		});
+	}
+
+	private update(seat: Seat, report: Place): void {
+		seat.report = report;
+		seat.mineThen = seat.mine;
+	}
+
+	private remove(session: string): void {
+		this.attendances.delete(session);
+		this.unseat(session);
+	}
+
+	private unseat(session: string): void {
+		for (const seat of this.seats.values()) {
+			if (seat.session === session) {
+				this.seats.delete(seat.id);
+			}
+		}
+	}
+}
+
+/** The tasks at a seat: this entry's own, and others' as far as they were told. */
+function runningAt(seat: Seat): number {
+	const others = Math.max(0, seat.report.running + seat.report.queued - seat.mineThen);
+	return others + seat.mine;
+}
+
+/** How many more tasks of a size a worker has room for, less what was sent since it reported. */
+function roomFor({report, mine, mineThen}: Seat, size: TaskSize): number {
+	const parts = [
+		size.cores > 0 ? report.freeCores / size.cores : Number.POSITIVE_INFINITY,
+		size.memoryMb > 0 ? report.freeMemoryMb / size.memoryMb : Number.POSITIVE_INFINITY,
+		size.accelerators > 0 ? report.freeAccelerators / size.accelerators : Number.POSITIVE_INFINITY,
+	];
+	const room = Math.floor(Math.min(...parts, 256)) - Math.max(0, mine - mineThen);
+	return report.running === 0 && mine === 0 ? Math.max(1, room) : Math.max(0, room);
+}
--- /dev/null
+++ b/src/entry/run.ts
@@ -0,0 +1,202 @@
+import type {Outcome, Item, EndedTask} from '../decide/claim.js';
+import {deferred} from '../deferred.js';
+import {results, resultOf} from '../results.js';
+import type {Route} from '../settings/schema.js';
+
+/** Body is one task's input. */
+export type Body = {bytes: Uint8Array; contentType: string};
+
+/** Work is a job or request that has been let in. */
+export type Work = {
+	claim: string;
+	/** Whether the claim is a row that others could take over. */
+	keyed: boolean;
+	epoch: number;
+	member: string;
+	route: string;
+	settings: Route;
+	/** Whether a task may be started again after it may have run, and hedged. */
+	repeatable: boolean;
+	bodies: readonly Body[];
+	/** Monotonic milliseconds. */
+	deadline: number;
+};
+
+/** TaskEnd is how one task ended. `never` says that it certainly did not start and will not. */
+export type TaskEnd
+	= | {kind: 'done'; item: Item}
+		| {kind: 'failed'; detail: string}
+		| {kind: 'unknown'; detail: string}
+		| {kind: 'never'; code: number}
+		| {kind: 'superseded'};
+
+/** Ending is how a run ended: its outcome, and what it used. */
+export type Ending = {outcome: Outcome; ranMs: number; done: number; superseded: boolean};
+
+type TaskState = 'waiting' | 'sent' | 'ended';
+
+/**
+ * Run is one job or request from its admission to its outcome. It ends once: when every task is
+ * done, or as soon as one cannot be.
+ */
+export class Run {
+	static create(work: Work): Run {
+		return new Run(work);
+	}
+
+	readonly ending: Promise<Ending>;
+	/** The outcome once it has ended. */
+	ended: Ending | undefined;
+	/** The sidecar sessions that were sent a task. */
+	readonly sessions = new Set<string>();
+	private readonly states: TaskState[];
+	private readonly copies = new Map<string, number[]>();
+	private readonly items: Array<Item | undefined>;
+	private readonly settle: (ending: Ending) => void;
+	private readonly listeners: Array<() => void> = [];
+	private left: number;
+	private started = 0;
+	private ranMs = 0;
+	private done = 0;
+
+	private constructor(readonly work: Work) {
+		const {promise, resolve} = deferred<Ending>();
+		this.ending = promise;
+		this.settle = resolve;
+		this.left = work.bodies.length;
+		this.states = work.bodies.map(() => 'waiting');
+		this.items = work.bodies.map(() => undefined);
+	}
+
+	/** Calls back when the run has ended, so that what is left of it can be withdrawn. */
+	onEnd(listener: () => void): void {
+		this.listeners.push(listener);
+	}
+
+	/** The copies that are out, by the address of the sidecar that has them. */
+	out(): Map<string, number[]> {
+		return new Map([...this.copies].filter(([, tasks]) => tasks.length > 0));
+	}
+
+	/** Whether the task still waits to be placed. */
+	waits(task: number): boolean {
+		return !this.ended && this.states[task] === 'waiting';
+	}
+
+	/** Notes that a task went out to a sidecar: from now on it may have started. */
+	send(task: number, session: string, address: string): void {
+		this.states[task] = 'sent';
+		this.sessions.add(session);
+		this.copies.set(address, [...this.copies.get(address) ?? [], task]);
+	}
+
+	/** Notes that a copy of a task came back from a sidecar. */
+	back(task: number, address: string): void {
+		const tasks = this.copies.get(address) ?? [];
+		const at = tasks.indexOf(task);
+		this.copies.set(address, tasks.filter((_, index) => index !== at));
+	}
+
+	/** Notes that a task that was out has certainly not started. */
+	giveBack(task: number): void {
+		this.states[task] = 'waiting';
+	}
+
+	/** Takes tasks that ended before this run began, from a takeover. */
+	recover(tasks: readonly EndedTask[]): void {
+		for (const {task, code, detail, item} of tasks) {
+			this.end(task, item && code === results.complete.code ? {kind: 'done', item} : endOf(code, detail));
+		}
+	}
+
+	/** Notes how a task ended. */
+	end(task: number, end: TaskEnd): void {
+		if (this.ended !== undefined || this.states[task] === 'ended') {
+			return;
+		}
+
+		this.states[task] = 'ended';
+		switch (end.kind) {
+			case 'done': {
+				this.complete(task, end.item);
+				break;
+			}
+
+			case 'failed': {
+				this.started++;
+				this.finish({code: results.taskFailed.code, detail: `task ${task}: ${end.detail}`});
+				break;
+			}
+
+			case 'unknown': {
+				this.started++;
+				this.finish({code: results.unknown.code, detail: `task ${task}: ${end.detail}`});
+				break;
+			}
+
+			case 'never': {
+				this.giveUp(end.code);
+				break;
+			}
+
+			case 'superseded': {
+				this.finish({code: results.unknown.code, detail: 'another entry took the job over'}, true);
+				break;
+			}
+		}
+	}
+
+	/** Ends the run because its deadline has passed. */
+	expire(): void {
+		this.giveUp(results.deadline.code);
+	}
+
+	/** Ends the run because its caller withdrew it. */
+	cancel(): void {
+		this.finish({code: this.maybeStarted ? results.cancelled.code : results.cancelledBefore.code});
+	}
+
+	/** Ends the run because a task cannot be started; says "not run" only if none may have been. */
+	giveUp(code: number): void {
+		if (!this.maybeStarted) {
+			this.finish({code});
+			return;
+		}
+
+		const passed = code === results.deadline.code || code === results.late.code;
+		this.finish({code: passed ? results.deadlinePassed.code : results.incomplete.code, detail: resultOf(code).text});
+	}
+
+	private get maybeStarted(): boolean {
+		return this.started > 0 || this.states.includes('sent');
+	}
+
+	private complete(task: number, item: Item): void {
+		this.items[task] = item;
+		this.started++;
+		this.done++;
+		this.ranMs += item.ranMs;
+		this.left--;
+		if (this.left === 0) {
+			this.finish({code: results.complete.code, items: this.items as Item[]});
+		}
+	}
+
+	private finish(outcome: Outcome, superseded = false): void {
+		if (this.ended) {
+			return;
+		}
+
+		this.ended = {
+			outcome, ranMs: this.ranMs, done: this.done, superseded,
+		};
+		this.settle(this.ended);
+		for (const listener of this.listeners) {
+			listener();
+		}
+	}
+}
+
+function endOf(code: number, detail: string): TaskEnd {
+	return code === results.taskFailed.code ? {kind: 'failed', detail} : {kind: 'unknown', detail};
+}
--- /dev/null
+++ b/src/entry/takeover.ts
@@ -0,0 +1,97 @@
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import {CollectRequestSchema, type CollectReply, type StartReply} from '../../gen/sniperidge/v1/peer_pb.js';
+import {neverLeft} from '../adapters/peers.js';
+import {handoverKey} from '../adapters/sessions.js';
+import type {Store} from '../adapters/table.js';
+import {
+	couldHold, recover, type Claim, type EndedTask, type Recovery, type Report, type Session,
+} from '../decide/claim.js';
+import type {Clock} from '../ports/clock.js';
+import type {Peers} from '../ports/peer.js';
+import type {Row} from '../ports/table.js';
+import {results} from '../results.js';
+import type {HandedTask} from '../sidecar/gate.js';
+
+/** How long a session is asked at a takeover before it counts as unheard, and the pause between, in milliseconds. */
+const askMs = 2000;
+const againMs = 150;
+
+/** Parts is what a takeover asks with. */
+export type Parts = {store: Store; peers: Peers; clock: Clock};
+
+/** Found is what a takeover learned: what became of each task, and where to ask for those that run. */
+export type Found = {recovery: Recovery; addresses: ReadonlyMap<string, string>};
+
+/**
+ * Collects what every session that could have started tasks of a claim did under it. The claim's
+ * epoch must have been raised in the table before. Rejects with `StoreError` when the sessions
+ * cannot be read.
+ */
+export async function collectClaim(key: string, claim: Claim, parts: Parts): Promise<Found> {
+	const {store} = parts;
+	const {rows} = await store.list({tables: ['sessions']});
+	const sessions = (rows as Array<Row<Session>>).filter(row => couldHold(row, claim));
+	const reports = await Promise.all(sessions.map(async row => askSession(row, key, claim, parts)));
+	return {
+		recovery: recover(claim.tasks, reports),
+		addresses: new Map(sessions.map(row => [row.key, row.value.address])),
+	};
+}
+
+async function askSession(row: Row<Session>, key: string, claim: Claim, {store, peers, clock}: Parts): Promise<Report> {
+	const unheard: Report = {kind: 'unheard', session: row.key};
+	if (row.value.ended === 'graceful') {
+		return await readHandover(row.key, key, store) ?? unheard;
+	}
+
+	const request = create(CollectRequestSchema, {claim: key, epoch: claim.epoch, session: row.key});
+	const until = clock.mono() + askMs;
+	while (clock.mono() < until) {
+		try {
+			const reply = await peers.sidecar(row.value.address).collect(request, {timeoutMs: askMs});
+			return reply.session === row.key ? reportOf(row.key, reply) : unheard;
+		} catch (error) {
+			if (neverLeft(error) && row.value.ended) {
+				return unheard;
+			}
+
+			await clock.sleep(againMs);
+		}
+	}
+
+	return unheard;
+}
+
+function reportOf(session: string, reply: CollectReply): Report {
+	return {
+		kind: 'heard', session, running: reply.running, ended: reply.tasks.map(task => endedOf(task)),
+	};
+}
+
+function endedOf(reply: StartReply): EndedTask {
+	const {task, code, detail} = reply;
+	if (reply.state !== 'done') {
+		return {task, code, detail};
+	}
+
+	return {
+		task, code, detail, item: {
+			body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place: reply.place?.name ?? '', ranMs: reply.ranMs,
+		},
+	};
+}
+
+async function readHandover(session: string, key: string, store: Store): Promise<Report | undefined> {
+	const object = await store.get(handoverKey(session));
+	if (!object) {
+		return undefined;
+	}
+
+	const handed = (JSON.parse(Buffer.from(object).toString()) as HandedTask[]).filter(task => task.claim === key);
+	return {
+		kind: 'heard', session, running: [], ended: handed.map(task => ({
+			task: task.task, code: task.code, detail: task.detail, item: task.code === results.complete.code ? task : undefined,
+		})),
+	};
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,21 @@
+/**
+ * The public surface: the two daemons, their settings, the decisions they are made of, the ports
+ * that a platform is adapted to, and the numbered results.
+ */
+export {Entry} from './entry/entry.js';
+export {Sidecar} from './sidecar/sidecar.js';
+export {
+	entrySettings, sidecarSettings, platformSettings, schemas, type EntrySettings, type SidecarSettings, type PlatformSettings, type Route, type Pool, type Member, type ConfigTable,
+} from './settings/schema.js';
+export {loadSettings, checkSettings, SettingsError} from './settings/load.js';
+export {
+	results, resultOf, Failure, type Result, type ResultName, type Kind,
+} from './results.js';
+export type {Clock} from './ports/clock.js';
+export type {Random} from './ports/random.js';
+export {
+	StoreError, type Table, type Row, type Check, type Change, type Transaction, type TransactionResult, type Query, type Listing,
+} from './ports/table.js';
+export type {ObjectStore} from './ports/objects.js';
+export type {Backend, Run, Answer} from './ports/upstream.js';
+export {Platform} from './standin/platform.js';
--- /dev/null
+++ b/src/ports/peer.ts
@@ -0,0 +1,38 @@
+import type {
+	BeatReply,
+	BeatRequest,
+	CancelReply,
+	CancelRequest,
+	CollectReply,
+	CollectRequest,
+	JoinReply,
+	JoinRequest,
+	PushReply,
+	Snapshot,
+	StartReply,
+	StartRequest,
+} from '../../gen/sniperidge/v1/peer_pb.js';
+
+/** Call bounds one request between two processes. */
+export type Call = {timeoutMs: number; signal?: AbortSignal};
+
+/** EntryPeer is an entry as its sidecars and the other entries call it. Methods reject when no reply came. */
+export type EntryPeer = {
+	beat(request: BeatRequest, call: Call): Promise<BeatReply>;
+	join(request: JoinRequest, call: Call): Promise<JoinReply>;
+	push(request: Snapshot, call: Call): Promise<PushReply>;
+};
+
+/** SidecarPeer is a sidecar as entries call it. Methods reject when no reply came. */
+export type SidecarPeer = {
+	start(request: StartRequest, call: Call): Promise<StartReply>;
+	cancel(request: CancelRequest, call: Call): Promise<CancelReply>;
+	collect(request: CollectRequest, call: Call): Promise<CollectReply>;
+};
+
+/** Peers opens the other processes by address, each over one kept connection. */
+export type Peers = {
+	entry(address: string): EntryPeer;
+	sidecar(address: string): SidecarPeer;
+	close(): void;
+};
--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,54 @@
+import process from 'node:process';
+import {readFileSync} from 'node:fs';
+import {type z} from 'zod';
+
+/** SettingsError names the file and every field that is wrong, with what was found and what is allowed. */
+export class SettingsError extends Error {
+	static create(file: string, problems: readonly string[]): SettingsError {
+		return new SettingsError(file, problems);
+	}
+
+	private constructor(readonly file: string, readonly problems: readonly string[]) {
+		super(problems.map(problem => `${file}: ${problem}`).join('\n'));
+		this.name = 'SettingsError';
+	}
+}
+
+/** Reads a JSON settings file and checks it. Throws `SettingsError`. */
+export function loadSettings<Schema extends z.ZodType>(schema: Schema, file: string): z.infer<Schema> {
+	let value: unknown;
+	try {
+		value = JSON.parse(readFileSync(file, 'utf8'));
+	} catch (error) {
+		throw SettingsError.create(file, [(error as Error).message]);
+	}
+
+	return checkSettings(schema, value, file);
+}
+
+/** Checks a value against a schema. Throws `SettingsError`, which names `file` as where it came from. */
+export function checkSettings<Schema extends z.ZodType>(schema: Schema, value: unknown, file: string): z.infer<Schema> {
+	const parsed = schema.safeParse(value);
+	if (parsed.success) {
+		return parsed.data;
+	}
+
+	throw SettingsError.create(file, parsed.error.issues.map(issue => describe(issue, value)));
+}
+
+/** Says what is wrong with one field: its path, the rule, and the value found. */
+export function describe(issue: z.core.$ZodIssue, value: unknown): string {
+	let found: unknown = value;
+	for (const step of issue.path) {
+		found = (found as Record<PropertyKey, unknown> | undefined)?.[step];
+	}
+
+	const field = issue.path.join('.') || '(top)';
+	const shown = typeof found === 'object' ? '' : `, found ${JSON.stringify(found)?.slice(0, 60) ?? 'nothing'}`;
+	return `${field}: ${issue.message}${shown}`;
+}
+
+/** Reads a secret from a file or, where no file is named, from an environment variable. */
+export function readSecret(file: string | undefined, variable: string): string | undefined {
+	return file ? readFileSync(file, 'utf8').trim() : process.env[variable];
+}
--- /dev/null
+++ b/src/sidecar/gate.ts
@@ -0,0 +1,422 @@
+import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
+import {
+	CancelReplySchema, CollectReplySchema, StartReplySchema, type CancelReply, type CancelRequest, type CollectReply, type CollectRequest, type StartReply, type StartRequest,
+} from '../../gen/sniperidge/v1/peer_pb.js';
+import {
+	freshRecord, hindrance, judgeStart, raiseEpoch, setTask, type ClaimRecord, type Conditions,
+} from '../decide/gate.js';
+import type {Config} from '../decide/config.js';
+import {deferred} from '../deferred.js';
+import type {Clock} from '../ports/clock.js';
+import type {Answer, Run} from '../ports/upstream.js';
+import {results} from '../results.js';
+import type {Place} from './place.js';
+
+/** Surroundings are what a gate asks about at the moment of each start. */
+export type Surroundings = {
+	config(): Config;
+	confirmed(): boolean;
+	place(name: string): Place | undefined;
+};
+
+/** Counts are a gate's counters, for the metrics. */
+export type Counts = {started: number; done: number; failed: number; unknown: number; refused: Record<number, number>; repeated: number};
+
+/** HandedTask is one started task in a sidecar's handover, as entries read it. */
+export type HandedTask = {claim: string; task: number; state: string; code: number; detail: string; body: string; contentType: string; ranMs: number; place: string};
+
+type Live = {
+	request: StartRequest;
+	place: Place;
+	queuedAt: number;
+	startedAt: number;
+	abort: AbortController;
+	reply: Promise<StartReply>;
+	ended?: StartReply;
+	fetched: boolean;
+	timer?: NodeJS.Timeout;
+	settle(reply: StartReply): void;
+};
+
+type Held = {record: ClaimRecord; live: Map<number, Live>; until: number; keyed: boolean};
+
+/** How long records of requests without a key are kept, in milliseconds: as long as a copy may be delayed. */
+const unkeyedMs = 60_000;
+/** The most bytes of answers held; beyond it the oldest are dropped. */
+const heldLimit = 4_000_000;
+/** The conditions of a start at a place that is not here. */
+const noPlace: Conditions = {
+	draining: false, zoneIn: true, upstreamIn: false, confirmed: true, free: false, room: false,
+};
+/** Attempts of a withdrawn task count as refused up to here. */
+const everyAttempt = 1_000_000_000;
+
+/** Settings of a gate: whose it is, how many tasks may wait at a place, and how long records are kept, in milliseconds. */
+export type Settings = {session: string; zone: string; queueLimit: number; windowMs: number};
+
+/** Gate is the last gate before work starts: it starts each task once, on what it is allowed to. */
+export class Gate {
+	static create(settings: Settings, clock: Clock, around: Surroundings): Gate {
+		return new Gate(settings, clock, around);
+	}
+
+	draining = false;
+	readonly counts: Counts = {
+		started: 0, done: 0, failed: 0, unknown: 0, refused: {}, repeated: 0,
+	};
+
+	private readonly claims = new Map<string, Held>();
+	private readonly queues = new Map<string, Live[]>();
+	private heldBytes = 0;
+	private session: string;
+
+	private constructor(private readonly settings: Settings, private readonly clock: Clock, private readonly around: Surroundings) {
+		this.session = settings.session;
+	}
+
+	/** Starts a task, joins the copy that was started, or refuses. Resolves when the task has ended. */
+	async start(request: StartRequest, signal: AbortSignal): Promise<StartReply> {
+		for (const claim of request.releases) {
+			this.release(claim);
+		}
+
+		if (request.session !== this.session) {
+			return this.refuse(request, results.wrongSession.code);
+		}
+
+		const place = this.around.place(request.place);
+		const held = this.held(request.claim, request.keyed);
+		const verdict = judgeStart(held.record, request, place ? this.conditions(place, request) : noPlace);
+		switch (verdict.kind) {
+			case 'refuse': {
+				return this.refuse(request, verdict.code);
+			}
+
+			case 'join': {
+				held.record = raiseEpoch(held.record, request.epoch);
+				this.counts.repeated++;
+				break;
+			}
+
+			case 'run': {
+				this.begin(held, this.enter(held, request, place!));
+				break;
+			}
+
+			case 'queue': {
+				this.wait(held, this.enter(held, request, place!));
+				break;
+			}
+		}
+
+		return this.fetch(held.live.get(request.task), request, signal);
+	}
+
+	/** Withdraws what has not started, so that it never will under this epoch, and stops what may be repeated. */
+	cancel(request: CancelRequest): CancelReply {
+		const held = this.held(request.claim, true);
+		const withdrawn: number[] = [];
+		const started: number[] = [];
+		for (const task of request.tasks) {
+			const live = held.live.get(task);
+			const state = held.record.tasks.get(task)?.kind;
+			if (state === 'running' || state === 'ended') {
+				started.push(task);
+				if (live?.request.repeatable) {
+					live.abort.abort();
+				}
+			} else if (request.epoch >= held.record.epoch) {
+				this.withdraw(held, task, request.epoch, results.withdrawn.code);
+				withdrawn.push(task);
+			}
+		}
+
+		return create(CancelReplySchema, {withdrawn, started});
+	}
+
+	/** Raises the epoch of a claim, withdraws what waits under a lower one, and tells what was started. */
+	collect(request: CollectRequest): CollectReply {
+		const held = this.held(request.claim, true);
+		if (request.epoch < held.record.epoch) {
+			return create(CollectReplySchema, {session: this.session, stale: true});
+		}
+
+		for (const [task, state] of held.record.tasks) {
+			if (state.kind === 'queued') {
+				this.withdraw(held, task, held.record.epoch, results.staleEpoch.code);
+			}
+		}
+
+		held.record = raiseEpoch(held.record, request.epoch);
+		const ended = [...held.record.tasks].flatMap(([task, state]) => state.kind === 'ended' ? [held.live.get(task)?.ended ?? dropped(request, task)] : []);
+		const running = [...held.live].filter(([, live]) => !live.ended).map(([task]) => task);
+		return create(CollectReplySchema, {session: this.session, tasks: ended, running});
+	}
+
+	/** Makes a claim's epoch known before any start of it came here. */
+	raise(claim: string, epoch: number): void {
+		const held = this.held(claim, true);
+		held.record = raiseEpoch(held.record, epoch);
+	}
+
+	/** Gives back what waits and may no longer start, after a change of configuration. */
+	review(): void {
+		for (const queue of this.queues.values()) {
+			for (const live of queue) {
+				const code = hindrance(this.conditions(live.place, live.request));
+				if (code !== undefined && code !== results.unconfirmed.code) {
+					this.withdraw(this.held(live.request.claim, live.request.keyed), live.request.task, live.request.epoch, code);
+				}
+			}
+		}
+	}
+
+	/** Forgets what is past its window. */
+	sweep(): void {
+		const now = this.clock.mono();
+		for (const [claim, held] of this.claims) {
+			const busy = [...held.live.values()].some(live => !live.ended);
+			if (held.until < now && !busy) {
+				this.forget(claim, held);
+			}
+		}
+	}
+
+	/** The tasks that wait at a place. */
+	queuedAt(place: string): number {
+		return this.queues.get(place)?.length ?? 0;
+	}
+
+	/** Whether nothing runs and every answer has been fetched. */
+	get idle(): boolean {
+		return [...this.claims.values()].every(held => [...held.live.values()].every(live => live.ended && live.fetched));
+	}
+
+	/** What was started under keys and not released, for the handover at a graceful stop. */
+	handover(): HandedTask[] {
+		return [...this.claims].flatMap(([claim, held]) => held.keyed ? [...held.live.values()].flatMap(live => live.ended ? [handed(claim, live.ended, live.place.name)] : []) : []);
+	}
+
+	/** Continues under a new session after the old one was written as ended; records are kept for re-asks. */
+	renew(session: string): void {
+		this.session = session;
+	}
+
+	private conditions(place: Place, request: StartRequest): Conditions {
+		const config = this.around.config();
+		return {
+			draining: this.draining,
+			zoneIn: config.zoneIn(this.settings.zone),
+			upstreamIn: config.upstreamIn(place.name),
+			confirmed: this.around.confirmed(),
+			free: this.queuedAt(place.name) === 0 && place.free(runOf(request)),
+			room: this.queuedAt(place.name) < this.settings.queueLimit,
+		};
+	}
+
+	private held(claim: string, keyed: boolean): Held {
+		const known = this.claims.get(claim);
+		if (known) {
+			return known;
+		}
+
+		const held = {
+			record: freshRecord, live: new Map<number, Live>(), until: this.clock.mono() + (keyed ? this.settings.windowMs : unkeyedMs), keyed,
+		};
+		this.claims.set(claim, held);
+		return held;
+	}
+
+	private enter(held: Held, request: StartRequest, place: Place): Live {
+		const now = this.clock.mono();
+		const {promise, resolve} = deferred<StartReply>();
+		const live: Live = {
+			request, place, queuedAt: now, startedAt: now, abort: new AbortController(), reply: promise, settle: resolve, fetched: false,
+		};
+		held.live.set(request.task, live);
+		return live;
+	}
+
+	private begin(held: Held, live: Live): void {
+		const {request} = live;
+		clearTimeout(live.timer);
+		held.record = setTask(held.record, request.task, {kind: 'running', attempt: request.attempt}, request.epoch);
+		live.startedAt = this.clock.mono();
+		this.counts.started++;
+		void this.run(held, live);
+	}
+
+	private async run(held: Held, live: Live): Promise<void> {
+		const {request, place} = live;
+		const answer = await place.run(runOf(request), request.repeatable, live.abort.signal);
+		if (answer.kind === 'refused') {
+			this.counts.started--;
+			this.withdraw(held, request.task, request.epoch, results.upstreamOut.code);
+		} else {
+			this.end(held, live, answer);
+		}
+
+		this.next(place);
+	}
+
+	private end(held: Held, live: Live, answer: Exclude<Answer, {kind: 'refused'}>): void {
+		const {request} = live;
+		held.record = setTask(held.record, request.task, {kind: 'ended', attempt: request.attempt}, request.epoch);
+		this.counts[answer.kind]++;
+		live.ended = create(StartReplySchema, {
+			claim: request.claim,
+			task: request.task,
+			epoch: request.epoch,
+			state: answer.kind,
+			code: {done: results.complete.code, failed: results.taskFailed.code, unknown: results.unknown.code}[answer.kind],
+			...(answer.kind === 'done' ? {body: new Uint8Array(answer.body), contentType: answer.contentType} : {detail: answer.detail}),
+			ranMs: this.clock.mono() - live.startedAt,
+			queuedMs: live.startedAt - live.queuedAt,
+			place: this.describe(live.place),
+		});
+		this.heldBytes += live.ended.body.length;
+		live.settle(live.ended);
+		this.trim();
+	}
+
+	private wait(held: Held, live: Live): void {
+		const {request, place} = live;
+		held.record = setTask(held.record, request.task, {kind: 'queued', attempt: request.attempt}, request.epoch);
+		this.queues.set(place.name, [...this.queues.get(place.name) ?? [], live]);
+		live.timer = setTimeout(() => {
+			this.withdraw(held, request.task, request.epoch, results.late.code);
+		}, Math.max(0, request.budgetMs));
+	}
+
+	private next(place: Place): void {
+		const queue = this.queues.get(place.name) ?? [];
+		const [live] = queue;
+		if (!live || !place.free(runOf(live.request))) {
+			return;
+		}
+
+		const held = this.held(live.request.claim, live.request.keyed);
+		const code = hindrance(this.conditions(place, live.request));
+		if (code === undefined) {
+			this.queues.set(place.name, queue.slice(1));
+			this.begin(held, live);
+		} else {
+			this.withdraw(held, live.request.task, live.request.epoch, code);
+		}
+
+		this.next(place);
+	}
+
+	/** Makes sure that a task never starts here under this epoch; answers whoever waits for it. */
+	private withdraw(held: Held, task: number, epoch: number, code: number): void {
+		const live = held.live.get(task);
+		const final = code === results.withdrawn.code;
+		held.record = setTask(held.record, task, {kind: 'refused', attempt: final ? everyAttempt : live?.request.attempt ?? everyAttempt, code}, epoch);
+		if (live) {
+			clearTimeout(live.timer);
+			held.live.delete(task);
+			this.queues.set(live.place.name, (this.queues.get(live.place.name) ?? []).filter(other => other !== live));
+			live.settle(this.refusal(live.request, code));
+		}
+	}
+
+	private refuse(request: StartRequest, code: number): StartReply {
+		if (request.session !== this.session) {
+			return this.refusal(request, code);
+		}
+
+		const held = this.held(request.claim, request.keyed);
+		const known = held.record.tasks.get(request.task);
+		if (request.epoch >= held.record.epoch && (known === undefined || known.kind === 'refused')) {
+			const attempt = Math.max(request.attempt, known?.attempt ?? 0);
+			held.record = setTask(held.record, request.task, {kind: 'refused', attempt, code}, request.epoch);
+		}
+
+		return this.refusal(request, code);
+	}
+
+	private refusal(request: StartRequest, code: number): StartReply {
+		this.counts.refused[code] = (this.counts.refused[code] ?? 0) + 1;
+		const place = this.around.place(request.place);
+		return create(StartReplySchema, {
+			claim: request.claim, task: request.task, epoch: request.epoch, state: 'refused', code, place: place && this.describe(place),
+		});
+	}
+
+	private async fetch(live: Live | undefined, request: StartRequest, signal: AbortSignal): Promise<StartReply> {
+		if (!live) {
+			return dropped(request, request.task);
+		}
+
+		const reply = await live.reply;
+		live.fetched ||= !signal.aborted;
+		return reply;
+	}
+
+	private describe(place: Place) {
+		const report = place.describe();
+		report.queued = this.queuedAt(place.name);
+		return report;
+	}
+
+	private release(claim: string): void {
+		const held = this.claims.get(claim);
+		if (held && [...held.live.values()].every(live => live.ended)) {
+			this.dropAnswers(held);
+			held.record = {...held.record, released: true, tasks: new Map()};
+		}
+	}
+
+	private forget(claim: string, held: Held): void {
+		this.dropAnswers(held);
+		this.claims.delete(claim);
+	}
+
+	private dropAnswers(held: Held): void {
+		for (const live of held.live.values()) {
+			this.heldBytes -= live.ended?.body.length ?? 0;
+		}
+
+		held.live.clear();
+	}
+
+	/** Drops the oldest answers while too many bytes are held, fetched ones first. */
+	private trim(): void {
+		for (const fetchedOnly of [true, false]) {
+			for (const held of this.claims.values()) {
+				if (this.heldBytes <= heldLimit) {
+					return;
+				}
+
+				this.dropEnded(held, fetchedOnly);
+			}
+		}
+	}
+
+	private dropEnded(held: Held, fetchedOnly: boolean): void {
+		for (const [task, live] of held.live) {
+			if (live.ended && (live.fetched || !fetchedOnly)) {
+				this.heldBytes -= live.ended.body.length;
+				held.live.delete(task);
+			}
+		}
+	}
+}
+
+function runOf(request: StartRequest): Run {
+	return request;
+}
+
+/** The reply for a task whose answer had to be dropped. */
+function dropped({claim, epoch}: {claim: string; epoch: number}, task: number): StartReply {
+	return create(StartReplySchema, {
+		claim, task, epoch, state: 'unknown', code: results.unknown.code, detail: 'the answer is no longer held',
+	});
+}
+
+function handed(claim: string, reply: StartReply, place: string): HandedTask {
+	return {
+		claim, task: reply.task, state: reply.state, code: reply.code, detail: reply.detail, body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, ranMs: reply.ranMs, place,
+	};
+}
--- /dev/null
+++ b/src/sidecar/sidecar.ts
@@ -0,0 +1,243 @@
+import {Buffer} from 'node:buffer';
+import type {Logger} from 'pino';
+import {systemClock} from '../adapters/clock.js';
+import {openUpstream} from '../adapters/backend.js';
+import {openPeers, servePeers, type Server} from '../adapters/peers.js';
+import {systemRandom} from '../adapters/random.js';
+import {
+	endSession, handoverKey, joinSession, readSession,
+} from '../adapters/sessions.js';
+import {openStore, type Store} from '../adapters/table.js';
+import {Sidecar as SidecarService} from '../../gen/sniperidge/v1/peer_pb.js';
+import type {Clock} from '../ports/clock.js';
+import type {Peers} from '../ports/peer.js';
+import type {SidecarSettings} from '../settings/schema.js';
+import {Beats} from './beat.js';
+import {Gate} from './gate.js';
+import {serveLocal, type Local} from './local.js';
+import {UpstreamPlace, type Place} from './place.js';
+import {Workers} from './workers.js';
+
+/** How often workers are renewed and records swept, in milliseconds. */
+const tickMs = 1000;
+const sweepMs = 5000;
+
+/** Sidecar runs beside an upstream: it announces it, guards its starts, and drives the workers it owns. */
+export class Sidecar {
+	/** Starts a sidecar. Resolves once it listens; it joins when the platform's table answers. */
+	static async create(settings: SidecarSettings, log: Logger, clock: Clock = systemClock): Promise<Sidecar> {
+		const sidecar = new Sidecar(settings, log, clock);
+		await sidecar.listen();
+		return sidecar;
+	}
+
+	readonly gate: Gate;
+	private session = systemRandom.id();
+	private readonly store: Store;
+	private readonly peers: Peers = openPeers();
+	private readonly beats: Beats;
+	private readonly workers: Workers;
+	private readonly upstreams = new Map<string, Place>();
+	private readonly stopping = new AbortController();
+	private readonly timers: NodeJS.Timeout[] = [];
+	private server!: Server;
+	private local!: Local;
+	private joined = false;
+	private leaving = false;
+
+	private constructor(private readonly settings: SidecarSettings, private readonly log: Logger, private readonly clock: Clock) {
+		this.store = openStore(settings.store);
+		this.beats = Beats.create({
+			peers: this.peers, clock, entries: settings.entries, announce: () => this.announce(), listener: {
+				configured: config => {
+					this.gate.review();
+					log.info({version: config.version}, 'configuration in force');
+				},
+				ended: session => {
+					this.renew(session);
+				},
+			},
+		});
+		this.workers = Workers.create(() => this.session, this.store, clock, () => this.beats.neighbours);
+		this.gate = Gate.create({
+			session: this.session, zone: settings.zone, queueLimit: settings.queue, windowMs: settings.claimWindowMs,
+		}, clock, {
+			config: () => this.beats.config,
+			confirmed: () => this.joined && this.beats.confirmed(),
+			place: name => this.upstreams.get(name) ?? this.workers.place(name),
+		});
+		for (const upstream of settings.upstreams) {
+			this.addUpstream(upstream);
+		}
+	}
+
+	/** The address for other processes, `host:port`. */
+	get address(): string {
+		return this.server.address;
+	}
+
+	/** The URL of the local port, for upstreams, workers and operators. */
+	get localUrl(): string {
+		return this.local.url;
+	}
+
+	/** Whether it has joined and its configuration is confirmed. */
+	get ready(): boolean {
+		return this.joined && !this.gate.draining && this.beats.confirmed();
+	}
+
+	/** Stops gracefully: gives back what waits, finishes what runs, hands over what it started, leaves. */
+	async stop(): Promise<void> {
+		if (this.leaving) {
+			return;
+		}
+
+		this.leaving = true;
+		this.gate.draining = true;
+		this.gate.review();
+		this.log.info('draining');
+		const until = this.clock.mono() + this.settings.drainMs;
+		await Promise.race([this.beats.flush(), this.clock.sleep(500)]);
+		while (!this.gate.idle && this.clock.mono() < until) {
+			await this.clock.sleep(20);
+		}
+
+		await this.leave();
+		await this.close();
+	}
+
+	private async close(): Promise<void> {
+		this.stopping.abort();
+		this.beats.stop();
+		for (const timer of this.timers) {
+			clearInterval(timer);
+		}
+
+		await this.server.close();
+		this.peers.close();
+		await this.local.close();
+		await Promise.all([...this.upstreams.values()].map(async place => place.close()));
+		await this.workers.close();
+		await this.store.close();
+		this.log.info('stopped');
+	}
+
+	private async listen(): Promise<void> {
+		const {settings, gate} = this;
+		this.server = await servePeers(settings.host, settings.ports.peers, router => {
+			router.service(SidecarService, {
+				start: async (request, context) => gate.start(request, context.signal),
+				cancel: request => gate.cancel(request),
+				collect: request => gate.collect(request),
+			});
+		});
+		this.local = await serveLocal(settings.host, settings.ports.local, {
+			ready: () => this.ready,
+			announceWorker: announcement => {
+				this.workers.hear(announcement);
+			},
+			announceUpstream: upstream => {
+				this.addUpstream(upstream);
+			},
+			gate,
+			beats: this.beats,
+			places: () => this.places(),
+		});
+		void this.enroll();
+	}
+
+	/** Writes the session's row first and then reads the raised epochs: see docs/DESIGN.md, "Takeover". */
+	private async enroll(): Promise<void> {
+		const {settings, stopping} = this;
+		const pools = [...new Set(settings.upstreams.flatMap(upstream => upstream.pools))];
+		await joinSession(this.store, this.clock, {
+			id: this.session, session: {
+				kind: 'sidecar', name: settings.name, zone: settings.zone, address: this.address, pools, at: this.clock.now(),
+			},
+		}, stopping.signal);
+		await this.learnEpochs();
+		if (stopping.signal.aborted) {
+			return;
+		}
+
+		this.joined = true;
+		this.beats.start();
+		this.log.info({session: this.session, address: this.address, zone: settings.zone}, 'joined');
+		this.timers.push(
+			setInterval(() => {
+				void this.workers.tick();
+			}, tickMs),
+			setInterval(() => {
+				this.gate.sweep();
+			}, sweepMs),
+		);
+	}
+
+	private async learnEpochs(): Promise<void> {
+		while (!this.stopping.signal.aborted) {
+			try {
+				const {rows} = await this.store.list({tables: ['raised']});
+				for (const row of rows) {
+					this.gate.raise(row.key, (row.value as {epoch: number}).epoch);
+				}
+
+				return;
+			} catch {
+				await this.clock.sleep(tickMs, this.stopping.signal);
+			}
+		}
+	}
+
+	/** Goes on under a new session after another process wrote the old one as ended. */
+	private renew(ended: string): void {
+		if (ended !== this.session || this.leaving) {
+			return;
+		}
+
+		this.joined = false;
+		this.beats.stop();
+		for (const timer of this.timers.splice(0)) {
+			clearInterval(timer);
+		}
+
+		this.session = systemRandom.id();
+		this.gate.renew(this.session);
+		this.log.warn({ended, session: this.session}, 'session was ended, joining again');
+		void this.enroll();
+	}
+
+	private async leave(): Promise<void> {
+		try {
+			const handover = Buffer.from(JSON.stringify(this.gate.handover()));
+			await this.store.put(handoverKey(this.session), handover);
+			const row = await readSession(this.store, this.session);
+			if (row && this.gate.idle) {
+				await endSession(this.store, this.clock, row, 'graceful');
+			}
+		} catch (error) {
+			this.log.warn({reason: (error as Error).message}, 'left without handing over');
+		}
+	}
+
+	private addUpstream(upstream: SidecarSettings['upstreams'][number]): void {
+		if (!this.upstreams.has(upstream.name)) {
+			this.upstreams.set(upstream.name, UpstreamPlace.create(upstream.name, upstream.pools, upstream.slots, openUpstream(upstream.url, upstream.connections)));
+		}
+	}
+
+	private places(): Place[] {
+		return [...this.upstreams.values(), ...this.workers.places];
+	}
+
+	private announce() {
+		const places = this.places().map(place => {
+			const report = place.describe();
+			report.queued = this.gate.queuedAt(place.name);
+			return report;
+		});
+		return {
+			session: this.session, address: this.address, zone: this.settings.zone, draining: this.gate.draining, places,
+		};
+	}
+}
+
--- /dev/null
+++ b/src/sidecar/workers.ts
@@ -0,0 +1,154 @@
+import {z} from 'zod';
+import {openWorker, type RunningTask, type Worker} from '../adapters/worker.js';
+import type {Size} from '../decide/pack.js';
+import {rendezvous} from '../decide/rendezvous.js';
+import type {Clock} from '../ports/clock.js';
+import type {Row, Table} from '../ports/table.js';
+import {name} from '../settings/schema.js';
+import {WorkerPlace} from './place.js';
+
+/** The body with which a worker announces itself. */
+export const announcementSchema = z.strictObject({
+	name,
+	url: z.url(),
+	zone: name,
+	pools: z.array(name).min(1),
+	cores: z.number().positive(),
+	memoryMb: z.number().positive(),
+	accelerators: z.number().int().nonnegative().default(0),
+});
+
+/** Announcement is how a worker announces itself; its sizes are in cores, megabytes and accelerators. */
+export type Announcement = z.infer<typeof announcementSchema>;
+
+/** Ownership is the row that says which sidecar session drives a worker, under which epoch. */
+export type Ownership = {owner: string; epoch: number};
+
+type Owned = {place: WorkerPlace; worker: Worker; epoch: number; heard: number};
+
+/** Silence after which a worker is forgotten, in milliseconds. */
+const silentMs = 5000;
+
+/** Workers is the workers that announced themselves here, and those of them that this sidecar owns. */
+export class Workers {
+	static create(session: () => string, table: Table, clock: Clock, neighbours: () => readonly string[]): Workers {
+		return new Workers(session, table, clock, neighbours);
+	}
+
+	private readonly announced = new Map<string, {announcement: Announcement; heard: number}>();
+	private readonly owned = new Map<string, Owned>();
+	private ticking = false;
+
+	private constructor(
+		private readonly session: () => string,
+		private readonly table: Table,
+		private readonly clock: Clock,
+		private readonly neighbours: () => readonly string[],
+	) {}
+
+	/** Takes a worker's announcement. */
+	hear(announcement: Announcement): void {
+		this.announced.set(announcement.name, {announcement, heard: this.clock.mono()});
+	}
+
+	/** The workers that this sidecar owns, as places. */
+	get places(): WorkerPlace[] {
+		return [...this.owned.values()].map(({place}) => place);
+	}
+
+	/** Returns an owned worker by name. */
+	place(worker: string): WorkerPlace | undefined {
+		return this.owned.get(worker)?.place;
+	}
+
+	/** Renews what is owned, drops what is lost or silent, and takes over what has no live owner. */
+	async tick(): Promise<void> {
+		if (this.ticking) {
+			return;
+		}
+
+		this.ticking = true;
+		await Promise.all([...this.announced].map(async ([worker, {announcement, heard}]) => {
+			try {
+				await (this.owned.has(worker) ? this.renew(worker) : this.claim(announcement));
+			} catch {
+				this.dropSilent(worker, heard);
+			}
+		}));
+		this.ticking = false;
+	}
+
+	/** Closes the connections to the workers. */
+	async close(): Promise<void> {
+		await Promise.all([...this.owned.values()].map(async ({worker}) => worker.close()));
+	}
+
+	private async renew(worker: string): Promise<void> {
+		const owned = this.owned.get(worker)!;
+		const running = await owned.worker.lease(this.session(), owned.epoch);
+		owned.heard = this.clock.mono();
+		owned.place.keepHeld(new Set(running.map(({id}) => decodeURIComponent(id))));
+		await owned.place.refresh();
+	}
+
+	private dropSilent(worker: string, heard: number): void {
+		const now = this.clock.mono();
+		const owned = this.owned.get(worker);
+		if (owned && now - owned.heard > silentMs) {
+			this.owned.delete(worker);
+			void owned.worker.close();
+		}
+
+		if (now - heard > silentMs && !this.owned.has(worker)) {
+			this.announced.delete(worker);
+		}
+	}
+
+	private async claim(announcement: Announcement): Promise<void> {
+		const live = new Set([...this.neighbours(), this.session()]);
+		if (rendezvous(announcement.name, [...live]) !== this.session()) {
+			return;
+		}
+
+		const row = await this.read(announcement.name);
+		if (row && row.value.owner !== this.session() && live.has(row.value.owner)) {
+			return;
+		}
+
+		const epoch = (row?.value.epoch ?? 0) + 1;
+		const ownership: Ownership = {owner: this.session(), epoch};
+		const [result] = await this.table.write([{
+			checks: [{table: 'workers', key: announcement.name, version: row?.version ?? 0}],
+			changes: [{
+				kind: 'put', table: 'workers', key: announcement.name, value: ownership,
+			}],
+		}]);
+		if (result?.kind === 'applied') {
+			await this.take(announcement, epoch);
+		}
+	}
+
+	private async take(announcement: Announcement, epoch: number): Promise<void> {
+		const worker = openWorker(announcement.url);
+		const running = await worker.lease(this.session(), epoch);
+		const held = running.map(task => heldOf(task));
+		const size: Size = {cores: announcement.cores, memoryMb: announcement.memoryMb, accelerators: announcement.accelerators};
+		const place = WorkerPlace.create({
+			name: announcement.name, pools: announcement.pools, size, epoch, held,
+		}, worker, this.clock);
+		this.owned.set(announcement.name, {
+			place, worker, epoch, heard: this.clock.mono(),
+		});
+	}
+
+	private async read(worker: string): Promise<Row<Ownership> | undefined> {
+		const {rows} = await this.table.list({tables: ['workers'], prefix: worker});
+		return rows.find(row => row.key === worker) as Row<Ownership> | undefined;
+	}
+}
+
+function heldOf(task: RunningTask) {
+	return {
+		id: decodeURIComponent(task.id), route: task.route, declared: task.size, startedAt: task.startedAt, repeatable: false,
+	};
+}
