--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -3,8 +3,11 @@
 import type {EntrySettings, SidecarSettings} from '../settings/schema.js';
 import {exits} from './exits.js';
 
-/** Tells a parent process, if there is one, where this one listens. */
+/** Tells a parent process, if there is one, where this one listens; ends with the parent. */
 function tellParent(value: Record<string, string>): void {
+	process.once('disconnect', () => {
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit
+	});
 	process.send?.(value);
 }
 
@@ -14,7 +17,7 @@
 	const log = pino({level: settings.log, base: {process: settings.name}});
 	const entry = await module.Entry.create(settings, log, operatorToken);
 	log.info({callers: entry.callersUrl, operators: entry.operatorsUrl, peers: entry.address}, 'entry listens');
-	tellParent({callers: entry.callersUrl, operators: entry.operatorsUrl, peers: entry.address});
+	tellParent({callers: entry.callersUrl, operators: entry.operatorsUrl, peers: entry.listens});
 	await stopped();
 	await entry.stop();
 	return exits.done;
@@ -26,7 +29,7 @@
 	const log = pino({level: settings.log, base: {process: settings.name}});
 	const sidecar = await module.Sidecar.create(settings, log);
 	log.info({peers: sidecar.address, local: sidecar.localUrl}, 'sidecar listens');
-	tellParent({peers: sidecar.address, local: sidecar.localUrl});
+	tellParent({peers: sidecar.listens, local: sidecar.localUrl});
 	await stopped();
 	await sidecar.stop();
 	return exits.done;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -117,11 +117,16 @@
 		return urlOf(this.admin);
 	}
 
-	/** The address for other processes, `host:port`. */
-	get address(): string {
+	/** Where it listens for other processes, `host:port`. */
+	get listens(): string {
 		return this.server.address;
 	}
 
+	/** The address that other processes are told, `host:port`. */
+	get address(): string {
+		return this.settings.advertise ?? this.server.address;
+	}
+
 	/** Whether it takes work. */
 	get ready(): boolean {
 		return this.joined && !this.jobs.draining;
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -58,11 +58,15 @@
 const log = z.enum(['silent', 'error', 'warn', 'info', 'debug']).default('info');
 const zone = name;
 
+/** The `host:port` that other processes reach this one by, where it is not the one it listens on. */
+const advertise = z.string().regex(/^[^:\/]+:\d+$/v, 'host:port').optional();
+
 /** The settings of an entry. */
 export const entrySettings = z.strictObject({
 	name,
 	zone,
 	host,
+	advertise,
 	ports: z.strictObject({callers: port.default(0), operators: port.default(0), peers: port.default(0)}).prefault({}),
 	store,
 	operatorTokenFile: z.string().optional(),
@@ -80,6 +84,7 @@
 	name,
 	zone,
 	host,
+	advertise,
 	ports: z.strictObject({peers: port.default(0), local: port.default(0)}).prefault({}),
 	entries: z.array(z.string().min(3)).min(1),
 	store,
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -71,11 +71,16 @@
 		}
 	}
 
-	/** The address for other processes, `host:port`. */
-	get address(): string {
+	/** Where it listens for other processes, `host:port`. */
+	get listens(): string {
 		return this.server.address;
 	}
 
+	/** The address that other processes are told, `host:port`. */
+	get address(): string {
+		return this.settings.advertise ?? this.server.address;
+	}
+
 	/** The URL of the local port, for upstreams, workers and operators. */
 	get localUrl(): string {
 		return this.local.url;
