--- a/src/adapters/clock.ts
+++ b/src/adapters/clock.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import type {Clock} from '../ports/clock.js';
 
@@ -12,3 +13,9 @@
 		} catch {}
 	},
 };
+
+/** Lifts the limit on how many may wait for one signal, and returns its controller. */
+export function unlimited(controller: AbortController): AbortController {
+	setMaxListeners(0, controller.signal);
+	return controller;
+}
--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -1,10 +1,10 @@
-import {setMaxListeners} from 'node:events';
+import {unlimited} from './clock.js';
 import http2 from 'node:http2';
 import type {AddressInfo} from 'node:net';
 import {
 	Code, ConnectError, createClient, type ConnectRouter, type Transport,
 } from '@connectrpc/connect';
-import {connectNodeAdapter, createConnectTransport} from '@connectrpc/connect-node';
+import {connectNodeAdapter, createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {Entry, Sidecar} from '../../gen/sniperidge/v1/peer_pb.js';
 import type {
 	Call, EntryPeer, Peers, SidecarPeer,
@@ -21,9 +21,9 @@
 export function openPeers(): Peers {
 	const entries = new Map<string, EntryPeer>();
 	const sidecars = new Map<string, SidecarPeer>();
+	const managers: Http2SessionManager[] = [];
 	const transports = new Map<string, Transport>();
-	const closing = new AbortController();
-	setMaxListeners(0, closing.signal);
+	const closing = unlimited(new AbortController());
 
 	function transport(address: string): Transport {
 		const known = transports.get(address);
@@ -31,14 +31,14 @@
 			return known;
 		}
 
+		const sessionManager = new Http2SessionManager(`http://${address}`, {pingIntervalMs: pingMs, pingTimeoutMs: pingMs, idleConnectionTimeoutMs: idleMs});
+		managers.push(sessionManager);
 		const opened = createConnectTransport({
 			baseUrl: `http://${address}`,
 			httpVersion: '2',
 			useBinaryFormat: true,
 			acceptCompression: [],
-			pingIntervalMs: pingMs,
-			pingTimeoutMs: pingMs,
-			idleConnectionTimeoutMs: idleMs,
+			sessionManager,
 			readMaxBytes: messageLimit,
 		});
 		transports.set(address, opened);
@@ -77,6 +77,9 @@
 		},
 		close() {
 			closing.abort();
+			for (const manager of managers) {
+				manager.abort();
+			}
 		},
 	};
 }
--- a/src/adapters/sessions.ts
+++ b/src/adapters/sessions.ts
@@ -41,6 +41,12 @@
 	return rows[0] as Row<Session> | undefined;
 }
 
+/** Lists the addresses of the entries whose sessions have not ended. Rejects with `StoreError`. */
+export async function findEntries(table: Table): Promise<string[]> {
+	const {rows} = await table.list({tables: ['sessions'], where: {field: 'kind', value: 'entry'}});
+	return (rows as Array<Row<Session>>).filter(row => !row.value.ended).map(row => row.value.address);
+}
+
 /** How long the row of an ended session is kept, in milliseconds: longer than any claim. */
 const keepEndedMs = 3_600_000;
 
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -9,6 +9,7 @@
 		process.exit(1); // eslint-disable-line unicorn/no-process-exit
 	});
 	process.send?.(value);
+	process.channel?.unref();
 }
 
 /** Runs an entry until SIGTERM or SIGINT, then stops it gracefully. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,7 +4,7 @@
 import type {Logger} from 'pino';
 import {Entry as EntryService, JoinRequestSchema, PushReplySchema} from '../../gen/sniperidge/v1/peer_pb.js';
 import {Batch} from '../adapters/batch.js';
-import {systemClock} from '../adapters/clock.js';
+import {systemClock, unlimited} from '../adapters/clock.js';
 import {openPeers, servePeers, type Server} from '../adapters/peers.js';
 import {seededRandom, systemRandom} from '../adapters/random.js';
 import {endSession, joinSession, readSession} from '../adapters/sessions.js';
@@ -27,11 +27,15 @@
 import {Roster} from './roster.js';
 import {Meter} from './usage.js';
 
+/** How long a stopping entry tries to write the usage that no claim carries, in milliseconds. */
+const flushMs = 2000;
 /** How often the other processes are looked after, in milliseconds. */
 const tickMs = 1000;
 /** How long another entry may be silent before its session is written as lost, in milliseconds. */
 const entryLostMs = 15_000;
 const pingMs = 1000;
+/** How long a new entry waits for sidecars to announce themselves before it is ready without them, in milliseconds. */
+const gatherMs = 4000;
 /** How long a stopping entry goes on serving after it stopped being ready, so that a balancer sees it, in milliseconds. */
 const lingerMs = 200;
 
@@ -55,7 +59,7 @@
 	private readonly peers: Peers = openPeers();
 	private readonly meter: Meter;
 	private readonly meters = Meters.create();
-	private readonly stopping = new AbortController();
+	private readonly stopping = unlimited(new AbortController());
 	private readonly front: FastifyInstance;
 	private readonly admin: FastifyInstance;
 	private readonly heard = new Map<string, number>();
@@ -63,6 +67,7 @@
 	private server!: Server;
 	private timer: NodeJS.Timeout | undefined;
 	private joined = false;
+	private joinedAt = 0;
 	private stopped: Promise<void> | undefined;
 
 	private constructor(private readonly settings: EntrySettings, private readonly log: Logger, operatorToken: string | undefined, private readonly clock: Clock) {
@@ -100,7 +105,7 @@
 			feed, jobs, dispatch, roster: this.roster, batch,
 		});
 		this.front = buildFront({
-			clock, feed, jobs, meters: this.meters, maxBodyBytes: settings.maxBodyBytes, ready: () => this.ready,
+			clock, feed, jobs, meters: this.meters, maxBodyBytes: settings.maxBodyBytes, joined: () => this.joined, ready: () => this.ready,
 		});
 		this.admin = buildAdmin({
 			clock, random, table: store, feed, token: operatorToken, spread: async version => this.spread(version), status: () => this.status(),
@@ -127,9 +132,14 @@
 		return this.settings.advertise ?? this.server.address;
 	}
 
-	/** Whether it takes work. */
+	/** Whether it takes work: it has joined, and every live sidecar has announced itself or had the time to. */
 	get ready(): boolean {
-		return this.joined && !this.jobs.draining;
+		if (!this.joined || this.jobs.draining) {
+			return false;
+		}
+
+		const sidecars = [...this.feed.sessions].filter(([, {value}]) => value.kind === 'sidecar' && !value.ended);
+		return this.clock.mono() - this.joinedAt > gatherMs || sidecars.every(([session]) => this.roster.attendances.has(session));
 	}
 
 	/** Stops gracefully: takes nothing new, finishes what is under way, writes outcomes and usage, leaves. */
@@ -149,7 +159,9 @@
 		}
 
 		await this.front.close();
-		await Promise.race([this.meter.flush(this.stopping.signal), clock.sleep(2000)]);
+		const flushed = new AbortController();
+		await Promise.race([this.meter.flush(this.stopping.signal), clock.sleep(flushMs, flushed.signal)]);
+		flushed.abort();
 		await this.leave();
 		clearInterval(this.timer);
 		this.dispatch.close();
@@ -192,6 +204,7 @@
 		void feed.follow(stopping.signal);
 		void this.meter.follow(stopping.signal);
 		this.joined = true;
+		this.joinedAt = clock.mono();
 		this.log.info({session, address: this.address, zone: settings.zone}, 'joined');
 		this.timer = setInterval(() => {
 			void this.tick();
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -35,7 +35,7 @@
 export const keySchema = z.string().regex(/^[\w.:\-]{1,200}$/v, 'only letters, digits, dot, colon, dash and underscore, at most 200');
 
 /** Parts is what the callers' port is made of. */
-export type Parts = {clock: Clock; feed: Feed; jobs: Jobs; meters: Meters; maxBodyBytes: number; ready(): boolean};
+export type Parts = {clock: Clock; feed: Feed; jobs: Jobs; meters: Meters; maxBodyBytes: number; joined(): boolean; ready(): boolean};
 
 /** Builds the callers' port: jobs, requests, health, metrics and the OpenAPI document. */
 export function buildFront(parts: Parts): FastifyInstance {
@@ -135,6 +135,10 @@
 	}
 
 	private memberOf(request: FastifyRequest): string {
+		if (!this.parts.joined()) {
+			throw Failure.create('notReady');
+		}
+
 		const [, token] = /^Bearer (.+)$/v.exec(request.headers.authorization ?? '') ?? [];
 		const member = token && this.parts.feed.config.memberOf(createHash('sha256').update(token).digest('hex'));
 		if (!member) {
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -287,7 +287,10 @@
 		dispatch.enter(run, tasks);
 		const ending = await run.ending;
 		meter.leave(member, bodies.length);
-		dispatch.release(claim, run.sessions);
+		if (!run.work.keyed) {
+			dispatch.release(claim, run.sessions);
+		}
+
 		return ending;
 	}
 
@@ -382,7 +385,7 @@
 		}
 
 		const ending = await this.execute(run, tasks);
-		return ending.superseded ? undefined : this.conclude(owned, ending);
+		return ending.superseded ? undefined : this.conclude(owned, ending, run);
 	}
 
 	/** Puts what a takeover found into a run and returns the tasks that may start. */
@@ -400,12 +403,12 @@
 	}
 
 	/** Writes the outcome. A "not run" is told only once it is written; nothing else waits for that. */
-	private async conclude(owned: Owned, ending: Ending): Promise<Answered | undefined> {
+	private async conclude(owned: Owned, ending: Ending, run: Run): Promise<Answered | undefined> {
 		const {ledger} = this.parts;
 		const {outcome} = ending;
 		const usage = outcome.code === results.complete.code ? usageOf(ending) : undefined;
 		if (resultOf(outcome.code).kind !== 'not-run') {
-			void this.later(ledger.close(owned, outcome, usage, true));
+			void this.later(this.closeAndRelease(owned, outcome, usage, run));
 			return outcome;
 		}
 
@@ -426,6 +429,13 @@
 		}
 	}
 
+	/** What sidecars hold for a claim may go only once its outcome is written: a takeover would miss it. */
+	private async closeAndRelease(owned: Owned, outcome: Outcome, usage: Usage | undefined, run: Run): Promise<void> {
+		if (await this.parts.ledger.close(owned, outcome, usage, true) === 'closed') {
+			this.parts.dispatch.release(owned.key, run.sessions);
+		}
+	}
+
 	/** Takes an orphaned claim, waits for what runs of it, and closes it without starting anything. */
 	private async closeOrphan(row: Row<Claim>): Promise<void> {
 		const {ledger, random, feed, clock} = this.parts;
--- a/src/entry/ledger.ts
+++ b/src/entry/ledger.ts
@@ -205,7 +205,9 @@
 		const {clock, batch, feed} = this.parts;
 		const until = Math.min(deadline, clock.mono() + patienceMs);
 		while (feed.readable && clock.mono() < until) {
-			const result = await Promise.race([attempt(batch, transaction), clock.sleep(until - clock.mono())]);
+			const done = new AbortController();
+			const result = await Promise.race([attempt(batch, transaction), clock.sleep(until - clock.mono(), done.signal)]);
+			done.abort();
 			if (result) {
 				return result;
 			}
--- a/src/results.ts
+++ b/src/results.ts
@@ -72,6 +72,9 @@
 	orphaned: {
 		code: 116, kind: 'not-run', status: 503, resubmit: 'same-key', text: 'The entry that owned the job died before any task started.',
 	},
+	notReady: {
+		code: 117, kind: 'not-run', status: 503, resubmit: 'later', text: 'This entry has just started and does not know the configuration yet.',
+	},
 	full: {
 		code: 150, kind: 'not-run', status: 503, resubmit: 'later', text: 'The place has no free slot (between processes).',
 	},
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -9,6 +9,8 @@
 /** How often a sidecar announces itself to each entry, and how long the reply may take, in milliseconds. */
 const beatMs = 1000;
 const replyMs = 2500;
+/** Silence of every entry after which others are looked for, in milliseconds. */
+const aloneMs = 2500;
 
 /** Announcement is what a sidecar says of itself. */
 export type Announcement = {session: string; address: string; zone: string; draining: boolean; places: Place[]};
@@ -21,8 +23,8 @@
 	ended(session: string): void;
 };
 
-/** Parts is what beats are made of; `entries` are the addresses to begin with. */
-export type Parts = {peers: Peers; clock: Clock; entries: readonly string[]; announce: () => Announcement; listener: Listener};
+/** Parts is what beats are made of; `entries` are the addresses to begin with, and `find` looks the present ones up in the table. */
+export type Parts = {peers: Peers; clock: Clock; entries: readonly string[]; announce: () => Announcement; listener: Listener; find: () => Promise<string[]>};
 
 /**
  * Beats announces a sidecar to every entry, once a second each, and keeps what they confirm.
@@ -50,6 +52,22 @@
 		this.follow(this.known);
 	}
 
+	/** Looks the entries up in the table when none of those known has answered for a while. */
+	async rediscover(): Promise<void> {
+		const now = this.parts.clock.mono();
+		const heard = [...this.confirmations.values()].some(confirmation => now - confirmation.heard < aloneMs);
+		if (heard) {
+			return;
+		}
+
+		try {
+			const found = await this.parts.find();
+			this.follow(new Set([...found, ...this.known, ...this.parts.entries]));
+		} catch {
+			// The table is away too; the known entries go on being tried.
+		}
+	}
+
 	/** Whether a task may start now under the configuration that is in force here. */
 	confirmed(): boolean {
 		return isConfirmed(this.confirmations, this.known.size, this.config.version, this.parts.clock.mono());
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
 import type {Logger} from 'pino';
-import {systemClock} from '../adapters/clock.js';
+import {systemClock, unlimited} from '../adapters/clock.js';
 import {openUpstream} from '../adapters/backend.js';
 import {openPeers, servePeers, type Server} from '../adapters/peers.js';
 import {systemRandom} from '../adapters/random.js';
 import {
-	endSession, handoverKey, joinSession, readSession,
+	endSession, findEntries, handoverKey, joinSession, readSession,
 } from '../adapters/sessions.js';
 import {openStore, type Store} from '../adapters/table.js';
 import {Sidecar as SidecarService} from '../../gen/sniperidge/v1/peer_pb.js';
@@ -38,7 +38,7 @@
 	private readonly beats: Beats;
 	private readonly workers: Workers;
 	private readonly upstreams = new Map<string, Place>();
-	private readonly stopping = new AbortController();
+	private readonly stopping = unlimited(new AbortController());
 	private readonly timers: NodeJS.Timeout[] = [];
 	private server!: Server;
 	private local!: Local;
@@ -48,7 +48,7 @@
 	private constructor(private readonly settings: SidecarSettings, private readonly log: Logger, private readonly clock: Clock) {
 		this.store = openStore(settings.store);
 		this.beats = Beats.create({
-			peers: this.peers, clock, entries: settings.entries, announce: () => this.announce(), listener: {
+			peers: this.peers, clock, entries: settings.entries, announce: () => this.announce(), find: async () => findEntries(this.store), listener: {
 				configured: config => {
 					this.gate.review();
 					log.info({version: config.version}, 'configuration in force');
@@ -171,6 +171,7 @@
 		this.timers.push(
 			setInterval(() => {
 				void this.workers.tick();
+				void this.beats.rediscover();
 			}, tickMs),
 			setInterval(() => {
 				this.gate.sweep();
