Place by declared times, confirm by starts, and a smaller sidecar

Change: callers may declare a task's time (expectMs, Sniperidge-Expect-Ms); it is corrected by a ratio learned per route. Slowness is averaged as a logarithm, with a fast average that takes over when a place has changed. A sidecar beats to an entry only when neither starts nor beats confirmed lately. The sidecar's bundle takes the pool alone of undici. A sidecar whose handover cannot be written tries until its drain time is over.

--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -14,7 +14,7 @@
 export type Options = {seed: string; policy: string; deployment: string};
 
 /** Arrival is one job or request of the schedule. Times in milliseconds. */
-type Arrival = {at: number; ms: number[]; member: MemberName; kind: 'request' | 'job'; index: number; deadlineMs: number};
+type Arrival = {at: number; ms: number[]; declared?: number[]; member: MemberName; kind: 'request' | 'job'; index: number; deadlineMs: number};
 
 type Answered = {arrival: Arrival; endedAt: number; reply: Reply | undefined; cancelled?: boolean};
 
@@ -24,6 +24,8 @@
 	/** The load as a part of what the places can do, as a function of the time. */
 	load(at: number): number;
 	expectMs?: number;
+	/** Declared times are off by up to this factor either way; without it none are declared. */
+	off?: number;
 	deadlineMs?: number;
 	flood?: boolean;
 	/** What happens meanwhile. */
@@ -36,6 +38,8 @@
 const longestMs = 1000;
 const longShare = 0.02;
 const longMs = [2000, 5000] as const;
+/** Declared times are off by up to so much either way unless a scenario says otherwise. */
+const ordinaryOff = 2;
 const meanMs = ((longestMs - shortestMs) / Math.log(longestMs / shortestMs) * (1 - longShare)) + (longShare * (longMs[0] + longMs[1]) / 2);
 
 const scenarios: Record<string, Scenario> = {
@@ -69,8 +73,9 @@
 			cluster.upstreams[0]!.fault({slower: 10});
 		},
 	},
-	declaredlow: {load: () => 0.7, expectMs: meanMs / 4},
-	declaredhigh: {load: () => 0.7, expectMs: meanMs * 4},
+	undeclared: {load: () => 0.7, off: 0},
+	exact: {load: () => 0.7, off: 1},
+	off4: {load: () => 0.7, off: 4},
 	flood: {load: () => 0.6, flood: true},
 	cancel: {
 		load: () => 0.7,
@@ -150,7 +155,7 @@
 		const rate = slowness.map(slow => minions.slots / slow).reduce((a, b) => a + b, 0); // eslint-disable-line unicorn/no-array-reduce
 		const arrivals = schedule(scenario, random, rate);
 		const rttMs = await bareRoundTrip(cluster) + (2 * zoneDelayMs);
-		const before = await Promise.all([...cluster.entries, ...cluster.sidecars].map(node => cpuMs(node)));
+		const before = {cpu: [...cluster.entries, ...cluster.sidecars].map(node => cpuMs(node)), counts: await countsOf(cluster), writes: cluster.platform.counts.writes};
 		const bench: Bench = {
 			cluster, random, outs: new Map(), began: performance.now(), zones, cancelled: new Set(),
 		};
@@ -158,9 +163,9 @@
 		const tookMs = performance.now() - bench.began;
 		const places = slowness.map((slow, index): IdealPlace => ({slots: minions.slots, slowness: slow, out: bench.outs.get(sidecars[index]!)}));
 		const figures = compare(answers, places, rttMs);
-		const waste = await wasted(cluster, answers);
+		const waste = wasted(before.counts, await countsOf(cluster), answers);
 		return {
-			scenario: name, deployment, seed: Number(seed), policy, ...figures, ...waste, ...work(cluster, bench, places), ...await resources(cluster, before, tookMs),
+			scenario: name, deployment, seed: Number(seed), policy, ...figures, ...waste, ...work(cluster, bench, places), ...resources(cluster, before.cpu, tookMs), storeWrites: cluster.platform.counts.writes - before.writes,
 		};
 	} finally {
 		await cluster.close();
@@ -169,13 +174,14 @@
 
 function schedule(scenario: Scenario, random: Random, rate: number): Arrival[] {
 	const arrivals: Arrival[] = [];
+	const off = scenario.off ?? ordinaryOff;
 	for (let at = 0, index = 0; at < runMs; index++) {
 		const kind = random.next() < 0.75 ? 'request' : 'job';
 		const count = kind === 'request' ? 1 : 1 + Math.floor(random.next() * 8);
 		const ms = Array.from({length: count}, () => taskMs(random));
 		const flooding = scenario.flood && random.next() < 0.8;
 		arrivals.push({
-			at, ms, kind, index, member: flooding ?? index % 2 === 0 ? 'alpha' : 'beta', deadlineMs: scenario.deadlineMs ?? 30_000,
+			at, ms, declared: off > 0 ? ms.map(one => Math.round(one * (off ** ((2 * random.next()) - 1)))) : undefined, kind, index, member: flooding ?? index % 2 === 0 ? 'alpha' : 'beta', deadlineMs: scenario.deadlineMs ?? 30_000,
 		});
 		const work = meanMs * ((0.75 * 1) + (0.25 * 4.5));
 		at += -Math.log(1 - random.next()) * work / (rate * scenario.load(at));
@@ -198,10 +204,13 @@
 		const ready = cluster.entries.filter(entry => entry.ready && entry.fate === 'alive');
 		const entry = ready[arrival.index % ready.length]!;
 		const bodies = arrival.ms.map((ms, task) => ({ms, own: `${arrival.index}-${task}`}));
+		const expect: Record<string, string> = arrival.declared ? {'sniperidge-expect-ms': String(arrival.declared[0])} : {};
 		const {member, deadlineMs} = arrival;
 		const reply = arrival.kind === 'request'
-			? await cluster.post(entry, 'bench', bodies[0], {member, headers: {'sniperidge-deadline-ms': String(deadlineMs)}})
-			: await cluster.put(entry, `bench-${arrival.index}`, bodies, {route: 'bench-job', member, deadlineMs});
+			? await cluster.post(entry, 'bench', bodies[0], {member, headers: {'sniperidge-deadline-ms': String(deadlineMs), ...expect}})
+			: await cluster.put(entry, `bench-${arrival.index}`, bodies, {
+				route: 'bench-job', member, deadlineMs, declared: arrival.declared,
+			});
 		return {arrival, endedAt: performance.now() - bench.began, reply};
 	}));
 }
@@ -267,8 +276,8 @@
 	};
 }
 
-/** Messages beyond one dispatch and one answer a task, as a share of those. */
-async function wasted(cluster: Cluster, answers: readonly Answered[]) {
+/** What the dispatchers of the entries counted, together. */
+async function countsOf(cluster: Cluster): Promise<Map<string, number>> {
 	const counts = new Map<string, number>();
 	for (const entry of cluster.entries.filter(({fate}) => fate === 'alive')) {
 		const reply = await request(`${entry.urls.callers!}/metrics`, {dispatcher: cluster.agent});
@@ -277,10 +286,19 @@
 		}
 	}
 
-	const count = (event: string) => counts.get(event) ?? 0;
-	const tasks = answers.filter(({reply}) => reply?.status === 200).map(({arrival}) => arrival.ms.length).reduce((a, b) => a + b, 0); // eslint-disable-line unicorn/no-array-reduce
-	const extra = 2 * (Math.max(0, count('sent') - tasks) + count('askedAgain') + count('cancels') + count('beats') + count('pings'));
-	return {tasks, wastedShare: round(extra / (2 * tasks)), messages: Object.fromEntries(counts)};
+	return counts;
+}
+
+/** Messages beyond one dispatch and one answer a task, as a share of those. */
+function wasted(before: ReadonlyMap<string, number>, after: ReadonlyMap<string, number>, answers: readonly Answered[]) {
+	const count = (event: string) => (after.get(event) ?? 0) - (before.get(event) ?? 0);
+	let tasks = 0;
+	for (const {arrival, reply} of answers) {
+		tasks += reply?.status === 200 ? arrival.ms.length : 0;
+	}
+
+	const extra = Math.max(0, count('sent') - tasks) + count('askedAgain') + count('cancels') + count('beats') + count('pings');
+	return {tasks, wastedShare: round(extra / tasks), messages: Object.fromEntries([...after.keys()].map(event => [event, count(event)]))};
 }
 
 function work(cluster: Cluster, {began, outs}: Bench, places: readonly IdealPlace[]) {
@@ -317,12 +335,12 @@
 	}
 }
 
-async function resources(cluster: Cluster, before: readonly number[], tookMs: number) {
+function resources(cluster: Cluster, before: readonly number[], tookMs: number) {
 	const nodes = [...cluster.entries, ...cluster.sidecars];
 	const rows = nodes.map((node, index) => ({kind: node.kind, cpu: (cpuMs(node) - before[index]!) / tookMs, rss: rssMb(node)}));
 	const worst = (kind: Node['kind'], pick: (row: {cpu: number; rss: number}) => number) => round(Math.max(...rows.filter(row => row.kind === kind).map(row => pick(row))));
 	return {
-		entryCpu: worst('entry', row => row.cpu), entryRssMb: worst('entry', row => row.rss), sidecarCpu: worst('sidecar', row => row.cpu), sidecarRssMb: worst('sidecar', row => row.rss), storeWrites: cluster.platform.counts.writes,
+		entryCpu: worst('entry', row => row.cpu), entryRssMb: worst('entry', row => row.rss), sidecarCpu: worst('sidecar', row => row.cpu), sidecarRssMb: worst('sidecar', row => row.rss),
 	};
 }
 
--- a/build.js
+++ b/build.js
@@ -12,4 +12,6 @@
 	banner: {js: 'import {createRequire} from \'node:module\';const require=createRequire(import.meta.url);'},
 };
 
-await build({...common, entryPoints: {entry: 'src/cli/entry.ts', sidecar: 'src/cli/sidecar.ts'}});
+await build({...common, entryPoints: {entry: 'src/cli/entry.ts'}});
+// Of undici the sidecar needs the pool alone; its index would load fetch, caches and sockets as well.
+await build({...common, entryPoints: {sidecar: 'src/cli/sidecar.ts'}, alias: {undici: './pool.js'}});
--- a/src/decide/admit.ts
+++ b/src/decide/admit.ts
@@ -18,8 +18,9 @@
 /** Demand is what a job asks for. */
 export type Demand = {
 	tasks: number;
-	/** Expected time of each task on a place of ordinary speed. */
-	taskMs: number;
+	/** Expected time of its tasks on a place of ordinary speed, all together and of the longest. */
+	workMs: number;
+	longestMs: number;
 	/** Time left until the deadline. */
 	leftMs: number;
 };
@@ -60,10 +61,10 @@
 export function finishIn(load: Load, demand: Demand): number {
 	const free = load.slots - load.running - load.queued;
 	const speed = load.rate / load.slots;
-	const own = demand.taskMs / speed;
+	const own = demand.longestMs / speed;
 	if (free >= demand.tasks) {
 		return own;
 	}
 
-	return ((load.workMs + ((demand.tasks - 1) * demand.taskMs)) / load.rate) + own;
+	return ((load.workMs + demand.workMs - demand.longestMs) / load.rate) + own;
 }
--- a/src/decide/estimate.ts
+++ b/src/decide/estimate.ts
@@ -1,63 +1,94 @@
-/** Estimate is what has been learned of times: each route's on an ordinary place, and each place's slowness. Immutable. */
+/**
+ * Estimate is what has been learned of times: each route's, as a ratio to what is declared, and each
+ * place's slowness. Immutable.
+ *
+ * Ratios are averaged as logarithms, since single times differ by more than ten to one: a few long
+ * tasks must not make a place look slow.
+ */
 export class Estimate {
 	static create(): Estimate {
 		return new Estimate(new Map(), new Map());
 	}
 
 	private constructor(
-		private readonly routes: ReadonlyMap<string, Mean>,
-		private readonly places: ReadonlyMap<string, Mean>,
+		private readonly routes: ReadonlyMap<string, RouteTimes>,
+		private readonly places: ReadonlyMap<string, Ratio>,
 	) {}
 
-	/** The milliseconds that a task of the route takes on an ordinary place; the declared time until some have run. */
+	/** The milliseconds that a task of the route takes on an ordinary place, when this much is declared. */
 	taskMs(route: string, declaredMs: number): number {
-		const mean = this.routes.get(route);
-		return mean ? blend(mean, declaredMs, routePrior) : declaredMs;
+		const times = this.routes.get(route);
+		return times ? declaredMs * blend(times.mean, routePrior) : declaredMs;
 	}
 
 	/** How many times longer than ordinary the place takes. */
 	slowness(place: string): number {
-		const mean = this.places.get(place);
-		return mean ? blend(mean, 1, placePrior) : 1;
+		const ratio = this.places.get(place);
+		if (!ratio) {
+			return 1;
+		}
+
+		const shifted = ratio.count > shiftAfter && Math.abs(ratio.fast - ratio.slow) > shift;
+		return Math.exp((shifted ? ratio.fast : ratio.slow) * ratio.count / (ratio.count + placePrior));
 	}
 
-	/** Returns the estimate after one run of a task. */
-	observe(route: string, place: string, ranMs: number, declaredMs: number): Estimate {
+	/** Returns the estimate after one run of a task that was declared to take so long. */
+	observe({route, place, ranMs, declaredMs}: Observation): Estimate {
+		const times = this.routes.get(route);
+		const ratio = Math.max(ranMs, 1) / declaredMs;
+		const log = Math.log(ratio);
 		const slowness = this.slowness(place);
-		const usual = this.taskMs(route, declaredMs);
-		const ratio = Math.min(longest, Math.max(1 / longest, ranMs / usual));
+		const usual = times?.log ?? log - Math.log(slowness);
+		const ordinary = ratio / slowness;
 		return new Estimate(
-			new Map(this.routes).set(route, follow(this.routes.get(route), ranMs / slowness, routeRate)),
-			new Map(this.places).set(place, follow(this.places.get(place), ratio, placeRate)),
+			new Map(this.routes).set(route, {mean: follow(times?.mean, ordinary, routeRate), log: usual + ((Math.log(ordinary) - usual) * weight(times?.mean.count ?? 0, routeRate))}),
+			new Map(this.places).set(place, learn(this.places.get(place), log - usual)),
 		);
 	}
 
 	/** Returns the estimate without the places that `keep` does not hold. */
 	prune(keep: (place: string) => boolean): Estimate {
+		if ([...this.places.keys()].every(place => keep(place))) {
+			return this;
+		}
+
 		return new Estimate(this.routes, new Map([...this.places].filter(([place]) => keep(place))));
 	}
 }
 
+/** Observation is one run of a task: how long it took and was declared to take, in milliseconds. */
+export type Observation = {route: string; place: string; ranMs: number; declaredMs: number};
+
 type Mean = {value: number; count: number};
+type RouteTimes = {mean: Mean; log: number};
+/** A place's log ratio to ordinary, followed slowly and fast. */
+type Ratio = {slow: number; fast: number; count: number};
 
-/** How strongly the declared value holds, counted in runs. */
+/** How strongly the declared time and ordinary slowness hold, counted in runs. */
 const routePrior = 3;
-const placePrior = 1;
-/** The least weight of one more run, which makes old runs fade. */
-const routeRate = 0.02;
-const placeRate = 0.1;
-/** One run counts as at most this many times longer or shorter than usual. */
-const longest = 10;
+const placePrior = 2;
+/** The least weights of one more run, which make old runs fade. */
+const routeRate = 0.01;
+const slowRate = 0.03;
+const fastRate = 0.25;
+/** A fast average this far from the slow one, in logarithms, means that the place has changed. */
+const shift = 1.2;
+const shiftAfter = 8;
+
+function learn(ratio: Ratio | undefined, log: number): Ratio {
+	const {slow, fast, count} = ratio ?? {slow: log, fast: log, count: 0};
+	return {slow: slow + ((log - slow) * weight(count, slowRate)), fast: fast + ((log - fast) * weight(count, fastRate)), count: count + 1};
+}
 
 function follow(mean: Mean | undefined, value: number, rate: number): Mean {
-	if (!mean) {
-		return {value, count: 1};
-	}
+	const {value: old, count} = mean ?? {value, count: 0};
+	return {value: old + ((value - old) * weight(count, rate)), count: count + 1};
+}
 
-	const weight = Math.max(rate, 1 / (mean.count + 1));
-	return {value: mean.value + ((value - mean.value) * weight), count: mean.count + 1};
+function weight(count: number, least: number): number {
+	return Math.max(least, 1 / (count + 1));
 }
 
-function blend(mean: Mean, prior: number, strength: number): number {
-	return ((mean.value * mean.count) + (prior * strength)) / (mean.count + strength);
+function blend(mean: Mean, strength: number): number {
+	return ((mean.value * mean.count) + strength) / (mean.count + strength);
 }
--- a/src/decide/member.ts
+++ b/src/decide/member.ts
@@ -5,9 +5,9 @@
 export type Stage = 'live' | 'suspect' | 'gone';
 
 /** Silence after which a sidecar gets no new work. */
-export const suspectMs = 3500;
+export const suspectMs = 6000;
 /** Silence after which a sidecar is removed. */
-export const goneMs = 10_000;
+export const goneMs = 12_000;
 /** Silence after which a session is written as lost, by whoever notices. */
 export const lostMs = 30_000;
 /** How long a returned place takes to reach its full slots. */
--- a/src/decide/place.ts
+++ b/src/decide/place.ts
@@ -33,21 +33,21 @@
 /** Two places whose expected finish differs by less than this part count as equal. */
 const tieShare = 0.03;
 
-/** Errand is the task to place: its ordinary length in milliseconds, and the zone that it starts from. */
-export type Errand = {taskMs: number; zone: string};
+/** Errand is the task to place: its ordinary length and that of the others, in milliseconds, and the zone that it starts from. */
+export type Errand = {taskMs: number; usualMs: number; zone: string};
 
 /**
  * Chooses the place where a task should finish first. A busy fast place can beat a free slow one:
  * the task then waits, and the caller counts it as reserved there for the choices that follow.
  */
-export function choose(candidates: readonly Candidate[], {taskMs, zone}: Errand, now: number, chance: number): Choice {
+export function choose(candidates: readonly Candidate[], errand: Errand, now: number, chance: number): Choice {
 	let best: {candidate: Candidate; finish: number; free: boolean} | undefined;
 	for (const candidate of candidates) {
 		if (candidate.standing === 'closed') {
 			continue;
 		}
 
-		const finish = finishAt(candidate, taskMs, now) + (candidate.zone === zone ? 0 : crossZoneMs);
+		const finish = finishAt(candidate, errand, now) + (candidate.zone === errand.zone ? 0 : crossZoneMs);
 		const free = isFree(candidate, now);
 		const tie = best && Math.abs(finish - best.finish) <= best.finish * tieShare && free === best.free;
 		if (!best || (tie ? chance < 0.5 : finish < best.finish)) {
@@ -94,7 +94,7 @@
 }
 
 /** Estimates the milliseconds until a task of this ordinary length would end at the place. */
-export function finishAt(candidate: Candidate, taskMs: number, now: number): number {
+export function finishAt(candidate: Candidate, {taskMs, usualMs}: Pick<Errand, 'taskMs' | 'usualMs'>, now: number): number {
 	const own = taskMs * candidate.slowness;
 	if (isFree(candidate, now)) {
 		return own;
@@ -103,5 +103,5 @@
 	const slots = slotsNow(candidate.slots, candidate.returned, now);
 	const ahead = Math.max(0, candidate.running + candidate.reserved - slots) + 1;
 	const blocked = Math.max(0, candidate.notBefore - now);
-	return Math.max(blocked, own * ahead / slots) + own;
+	return Math.max(blocked, usualMs * candidate.slowness * ahead / slots) + own;
 }
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -91,7 +91,6 @@
 	enter(run: Run, tasks: Iterable<number>): void {
 		const {work} = run;
 		const line = this.line(work.settings.pool);
-		const costMs = this.estimate.taskMs(work.route, work.settings.expectMs);
 		run.onEnd(() => {
 			this.withdraw(run);
 		});
@@ -99,7 +98,7 @@
 		for (const index of tasks) {
 			this.budget = earn(this.budget);
 			line.queue = line.queue.add({
-				member: work.member, deadline: work.deadline, costMs, run, index, attempt: 1, hedged: false, flight: {out: 0},
+				member: work.member, deadline: work.deadline, costMs: this.estimate.taskMs(work.route, declaredMs(run, index)), run, index, attempt: 1, hedged: false, flight: {out: 0},
 			});
 		}
 
@@ -109,7 +108,7 @@
 	/** Asks a session for a task that it was found to run. */
 	follow(run: Run, index: number, session: string, address: string): void {
 		run.send(index, session, address);
-		const costMs = this.estimate.taskMs(run.work.route, run.work.settings.expectMs);
+		const costMs = this.estimate.taskMs(run.work.route, declaredMs(run, index));
 		const task: Task = {
 			member: run.work.member, deadline: run.work.deadline, costMs, run, index, attempt: 1, hedged: true, flight: {out: 1},
 		};
@@ -264,7 +263,7 @@
 	private choose(candidates: readonly Candidate[], task: Task, line: Line, now: number): Choice {
 		const {policy, zone} = this.options;
 		if (policy === 'finish') {
-			return choose(candidates, {taskMs: task.costMs, zone}, now, this.parts.random.next());
+			return choose(candidates, {taskMs: task.costMs, usualMs: this.usualMs(line), zone}, now, this.parts.random.next());
 		}
 
 		line.turn++;
@@ -272,6 +271,11 @@
 		return chooseBaseline(policy, free, line.turn, this.parts.random.next());
 	}
 
+	/** The mean cost of what runs and waits, in milliseconds. */
+	private usualMs(line: Line): number {
+		return (line.workMs + line.queue.costMs) / Math.max(1, line.running + line.queue.size);
+	}
+
 	private send(task: Task, line: Line, seat: Seat): void {
 		task.run.send(task.index, seat.session, seat.address);
 		task.flight.out++;
@@ -462,7 +466,9 @@
 	private learn(task: Task, seat: Seat | undefined, reply: StartReply): void {
 		if (seat) {
 			this.roster.judge(seat, true);
-			this.estimate = this.estimate.observe(task.run.work.route, seat.id, reply.ranMs, task.run.work.settings.expectMs);
+			this.estimate = this.estimate.observe({
+				route: task.run.work.route, place: seat.id, ranMs: reply.ranMs, declaredMs: declaredMs(task.run, task.index),
+			});
 		}
 	}
 
@@ -483,7 +489,7 @@
 		const now = this.parts.clock.mono();
 		const candidates = this.roster.candidates(pool, task.run.work.settings, place => this.estimate.slowness(place))
 			.filter(candidate => candidate.id !== first.id && candidate.standing === 'open' && isFree(candidate, now));
-		const choice = choose(candidates, {taskMs: task.costMs, zone: this.options.zone}, now, this.parts.random.next());
+		const choice = choose(candidates, {taskMs: task.costMs, usualMs: task.costMs, zone: this.options.zone}, now, this.parts.random.next());
 		const budget = spend(this.budget);
 		if (choice.kind !== 'go' || !budget || task.run.ended) {
 			return;
@@ -505,6 +511,10 @@
 	}
 }
 
+function declaredMs({work}: Run, index: number): number {
+	return work.bodies[index]?.expectMs ?? work.settings.expectMs;
+}
+
 function itemOf(reply: StartReply, place: string): Item {
 	return {
 		body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place, ranMs: reply.ranMs,
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -27,6 +27,7 @@
 	tasks: z.array(z.strictObject({
 		body: z.string(),
 		encoding: z.enum(['utf8', 'base64']).default('utf8'),
+		expectMs: z.number().positive().max(deadlineLimitMs).optional(),
 		contentType: z.string().max(200).regex(/^[\u0020-\u007E]+$/v, 'printable ASCII').default('application/json'),
 	})).min(1).max(taskLimit),
 });
@@ -70,7 +71,7 @@
 		const text = Buffer.from(bytesOf(request)).toString();
 		const job = parseBody(jobSchema, text, 'badInput');
 		const settings = this.routeOf(job.route, member);
-		const bodies = job.tasks.map(task => ({bytes: Buffer.from(task.body, task.encoding), contentType: task.contentType}));
+		const bodies = job.tasks.map(task => ({bytes: Buffer.from(task.body, task.encoding), contentType: task.contentType, expectMs: task.expectMs}));
 		checkSizes(bodies, settings);
 		const submission = {
 			member, key, hash: hashOf(job.route, bodies), route: job.route, settings, repeatable: false, bodies, deadline: this.deadline(request, job.deadlineMs ?? settings.deadlineMs),
@@ -99,7 +100,7 @@
 		const {route} = (request.params as {route: string});
 		const settings = this.routeOf(route, member);
 		const bytes = bytesOf(request);
-		const bodies = [{bytes, contentType: String(request.headers['content-type'] ?? 'application/octet-stream')}];
+		const bodies = [{bytes, contentType: String(request.headers['content-type'] ?? 'application/octet-stream'), expectMs: milliseconds(request, 'sniperidge-expect-ms')}];
 		checkSizes(bodies, settings);
 		const idempotencyKey = request.headers['idempotency-key'];
 		const key = idempotencyKey === undefined ? undefined : `request:${check(keySchema, String(idempotencyKey), 'Idempotency-Key')}`;
@@ -162,13 +163,7 @@
 	}
 
 	private deadline(request: FastifyRequest, ordinaryMs: number): number {
-		const header = request.headers['sniperidge-deadline-ms'];
-		const ms = header === undefined ? ordinaryMs : Number(header);
-		if (!(ms > 0 && ms <= deadlineLimitMs)) {
-			throw Failure.create('badInput', `Sniperidge-Deadline-Ms: a number of milliseconds from now, over 0 and up to ${deadlineLimitMs}, found ${JSON.stringify(header)}`);
-		}
-
-		return this.parts.clock.mono() + ms;
+		return this.parts.clock.mono() + (milliseconds(request, 'sniperidge-deadline-ms') ?? ordinaryMs);
 	}
 
 	private count(submission: Submission, answered: Answered): void {
@@ -184,6 +179,20 @@
 	return check(keySchema, (request.params as {key: string}).key, 'key');
 }
 
+function milliseconds(request: FastifyRequest, header: string): number | undefined {
+	const text = request.headers[header];
+	if (text === undefined) {
+		return undefined;
+	}
+
+	const ms = Number(text);
+	if (!(ms > 0 && ms <= deadlineLimitMs)) {
+		throw Failure.create('badInput', `${header}: a number of milliseconds, over 0 and up to ${deadlineLimitMs}, found ${JSON.stringify(text)}`);
+	}
+
+	return ms;
+}
+
 function check(schema: z.ZodString, value: string, field: string): string {
 	const parsed = schema.safeParse(value);
 	if (!parsed.success) {
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -246,9 +246,11 @@
 		const {feed, meter, dispatch, clock} = this.parts;
 		const {member, settings, route} = submission;
 		const quota = meter.quota(member, feed.config.tables.members.get(member)?.value, Math.max(1, feed.entries().length));
+		const times = submission.bodies.map(body => dispatch.estimate.taskMs(route, body.expectMs ?? settings.expectMs));
 		const demand = {
 			tasks: submission.bodies.length,
-			taskMs: dispatch.estimate.taskMs(route, settings.expectMs),
+			workMs: sum(times),
+			longestMs: Math.max(...times),
 			leftMs: submission.deadline - clock.mono(),
 		};
 		const admission = judgeAdmission(dispatch.load(settings.pool), demand, quota);
@@ -518,6 +520,15 @@
 	}
 }
 
+function sum(values: readonly number[]): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
+
 function workOf(submission: Submission): Omit<Work, 'claim' | 'keyed' | 'epoch'> {
 	const {
 		member, route, settings, repeatable, bodies, deadline,
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -4,7 +4,12 @@
 import type {Route} from '../settings/schema.js';
 
 /** Body is one task's input. */
-export type Body = {bytes: Uint8Array; contentType: string};
+export type Body = {
+	bytes: Uint8Array;
+	contentType: string;
+	/** How long its caller declares that it takes on an ordinary place, in milliseconds. */
+	expectMs?: number;
+};
 
 /** Work is a job or request that has been let in. */
 export type Work = {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -89,7 +89,7 @@
 	entries: z.array(z.string().min(3)).min(1),
 	store,
 	log,
-	queue: whole.max(64).default(2),
+	queue: whole.max(64).default(3),
 	drainMs: positive.default(30_000),
 	claimWindowMs: positive.default(600_000),
 	upstreams: z.array(z.strictObject({
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -6,8 +6,11 @@
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
 
-/** How often a sidecar announces itself to each entry, and how long the reply may take, in milliseconds. */
-const beatMs = 1500;
+/** A sidecar announces itself to an entry that has not been heard for so long, in milliseconds. */
+const beatMs = 2500;
+/** It announces itself to each entry when the newest confirmation is older than this, in milliseconds. */
+const freshMs = 1200;
+/** How often it looks whether to, and how long the reply may take, in milliseconds. */
 const lookMs = 500;
 const replyMs = 2500;
 /** Silence of every entry after which others are looked for, in milliseconds. */
@@ -28,7 +31,8 @@
 export type Parts = {peers: Peers; clock: Clock; entries: readonly string[]; announce: () => Announcement; listener: Listener; find: () => Promise<string[]>};
 
 /**
- * Beats announces a sidecar to every entry, once a second each, and keeps what they confirm.
+ * Beats announces a sidecar to every entry and keeps what they confirm. Starts that come with a
+ * confirmation stand in for beats.
  *
  * A confirmation counts from when the request for it was sent, on this process's own clock, so that
  * one that lay in a buffer while the process was stopped counts for nothing.
@@ -133,7 +137,8 @@
 		while (!signal.aborted) {
 			const now = this.parts.clock.mono();
 			const due = now + lookMs;
-			if (now - (this.confirmations.get(entry)?.heard ?? Number.NEGATIVE_INFINITY) > beatMs - lookMs) {
+			const silence = now - (this.confirmations.get(entry)?.heard ?? Number.NEGATIVE_INFINITY);
+			if (silence > beatMs || (silence > freshMs && this.ageMs > freshMs)) {
 				await this.beat(entry);
 			}
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,6 +21,8 @@
 /** How often workers are renewed and records swept, in milliseconds. */
 const tickMs = 1000;
 const sweepMs = 5000;
+/** How long after a failed handover it is tried again, in milliseconds. */
+const againMs = 300;
 
 /** Sidecar runs beside an upstream: it announces it, guards its starts, and drives the workers it owns. */
 export class Sidecar {
@@ -110,7 +112,7 @@
 			await this.clock.sleep(20);
 		}
 
-		await this.leave();
+		await this.leave(until);
 		await this.close();
 	}
 
@@ -215,17 +217,22 @@
 		void this.enroll();
 	}
 
-	private async leave(): Promise<void> {
-		try {
-			const handover = Buffer.from(JSON.stringify(this.gate.handover()));
-			await this.store.put(handoverKey(this.session), handover);
-			const row = await readSession(this.store, this.session);
-			if (row && this.gate.idle) {
-				await endSession(this.store, this.clock, row, 'graceful');
+	/** Hands over what was started and ends the session; while the table is away it tries until the drain time is over. */
+	private async leave(until: number): Promise<void> {
+		do {
+			try {
+				await this.store.put(handoverKey(this.session), Buffer.from(JSON.stringify(this.gate.handover())));
+				const row = await readSession(this.store, this.session);
+				if (row && this.gate.idle) {
+					await endSession(this.store, this.clock, row, 'graceful');
+				}
+
+				return;
+			} catch (error) {
+				this.log.warn({reason: (error as Error).message}, 'handover is not written');
+				await this.clock.sleep(againMs);
 			}
-		} catch (error) {
-			this.log.warn({reason: (error as Error).message}, 'left without handing over');
-		}
+		} while (this.clock.mono() < until);
 	}
 
 	private addUpstream(upstream: SidecarSettings['upstreams'][number]): void {
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -144,9 +144,9 @@
 	}
 
 	/** Submits a job of bodies under a key. Resolves to nothing when no answer came. */
-	async put(entry: Node, key: string, bodies: readonly unknown[], options: {route?: string; member?: MemberName; deadlineMs?: number; headers?: Record<string, string>} = {}): Promise<Reply | undefined> {
-		const {route = 'task', member = 'alpha', deadlineMs = 10_000, headers} = options;
-		const body = JSON.stringify({route, deadlineMs, tasks: bodies.map(value => ({body: JSON.stringify(value)}))});
+	async put(entry: Node, key: string, bodies: readonly unknown[], options: {route?: string; member?: MemberName; deadlineMs?: number; headers?: Record<string, string>; declared?: readonly number[]} = {}): Promise<Reply | undefined> {
+		const {route = 'task', member = 'alpha', deadlineMs = 10_000, headers, declared} = options;
+		const body = JSON.stringify({route, deadlineMs, tasks: bodies.map((value, index) => ({body: JSON.stringify(value), expectMs: declared?.[index]}))});
 		return this.ask(entry.urls.callers!, {method: 'PUT', path: `/v1/jobs/${key}`, body, headers, member});
 	}
 
--- a/test/proxy.ts
+++ b/test/proxy.ts
@@ -12,9 +12,13 @@
 		await new Promise<void>(resolve => {
 			proxy.server.listen(0, '127.0.0.1', resolve);
 		});
+		proxy.address = `127.0.0.1:${(proxy.server.address() as AddressInfo).port}`;
 		return proxy;
 	}
 
+	/** The `host:port` it listens on, also after it was closed. */
+	address = '';
+
 	/** The bytes that went through, both ways. */
 	bytes = 0;
 	/** Added to every chunk either way, in milliseconds. */
@@ -31,11 +35,6 @@
 
 	private constructor(public target: string) {}
 
-	/** The `host:port` it listens on. */
-	get address(): string {
-		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-	}
-
 	/** Breaks every connection. */
 	cut(): void {
 		for (const {client, target} of this.pairs) {
