Tell an answer once its outcome is written; zod without its locales

Change: an answer under a key waits for its outcome to be written, up to 2 s; an owner that finds its claim taken joins the new one. Also the sidecar imports zod as a namespace, so that the bundle leaves its locales out.

--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -1,7 +1,7 @@
 import {existsSync} from 'node:fs';
 import {Command, Option, UsageError} from 'clipanion';
 import {pino} from 'pino';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {loadSettings, readSecret, SettingsError} from '../settings/load.js';
 import {entrySettings, platformSettings, sidecarSettings} from '../settings/schema.js';
 import {deploymentSchema} from '../standin/tables.js';
--- a/src/entry/admin.ts
+++ b/src/entry/admin.ts
@@ -1,6 +1,6 @@
 import {timingSafeEqual, createHash} from 'node:crypto';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Clock} from '../ports/clock.js';
 import type {Random} from '../ports/random.js';
 import {
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Item} from '../decide/claim.js';
 import type {Clock} from '../ports/clock.js';
 import {Failure, resultOf, results} from '../results.js';
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -16,7 +16,7 @@
 import type {Route} from '../settings/schema.js';
 import type {Dispatch} from './dispatch.js';
 import type {Feed} from './feed.js';
-import type {Claimed, Ledger} from './ledger.js';
+import type {Claimed, Closed, Ledger} from './ledger.js';
 import {
 	Run, type Body, type Ending, type Work,
 } from './run.js';
@@ -75,6 +75,8 @@
 const againMs = 200;
 /** How long it may take to see that nobody holds a key, so that its refusal is true, in milliseconds. */
 const lookMs = 500;
+/** How long an answer waits for its outcome to be written, in milliseconds. */
+const writeMs = 2000;
 /** How long, and how many, outcomes are kept here after they were answered. */
 const keepMs = 60_000;
 const keepLimit = 2000;
@@ -406,38 +408,35 @@
 		return recovery.free;
 	}
 
-	/** Writes the outcome. A "not run" is told only once it is written; nothing else waits for that. */
+	/**
+	 * Writes the outcome and then tells it, so that what callers hear, what is billed and what a
+	 * takeover finds are one. Resolves to nothing when another entry took the job over. While the table
+	 * gives no answer a "not run" cannot be told; anything else is told after a while unwritten.
+	 */
 	private async conclude(owned: Owned, ending: Ending, run: Run): Promise<Answered | undefined> {
-		const {ledger} = this.parts;
 		const {outcome} = ending;
 		const usage = outcome.code === results.complete.code ? usageOf(ending) : undefined;
-		if (resultOf(outcome.code).kind !== 'not-run') {
-			void this.later(this.closeAndRelease(owned, outcome, usage, run));
-			return outcome;
+		const closing = this.closeAndRelease(owned, outcome, usage, run);
+		void this.later(closing);
+		const enough = new AbortController();
+		const closed = await Promise.race([closing, this.parts.clock.sleep(writeMs, enough.signal)]);
+		enough.abort();
+		if (closed === 'superseded') {
+			return undefined;
 		}
 
-		const closed = await ledger.close(owned, outcome, undefined, false);
-		switch (closed) {
-			case 'closed': {
-				return outcome;
-			}
-
-			case 'superseded': {
-				return undefined;
-			}
-
-			case 'unavailable': {
-				void this.later(ledger.close(owned, outcome, undefined, true));
-				return {code: results.storeUnavailable.code, retryMs: 1000};
-			}
-		}
+		const told = closed === 'closed' || resultOf(outcome.code).kind !== 'not-run';
+		return told ? outcome : {code: results.storeUnavailable.code, retryMs: 1000};
 	}
 
 	/** What sidecars hold for a claim may go only once its outcome is written: a takeover would miss it. */
-	private async closeAndRelease(owned: Owned, outcome: Outcome, usage: Usage | undefined, run: Run): Promise<void> {
-		if (await this.parts.ledger.close(owned, outcome, usage, true) === 'closed') {
+	private async closeAndRelease(owned: Owned, outcome: Outcome, usage: Usage | undefined, run: Run): Promise<Closed> {
+		const closed = await this.parts.ledger.close(owned, outcome, usage);
+		if (closed === 'closed') {
 			this.parts.dispatch.release(owned.key, run.sessions);
 		}
+
+		return closed;
 	}
 
 	/** Takes an orphaned claim, waits for what runs of it, and closes it without starting anything. */
@@ -461,7 +460,7 @@
 
 		const ending = await this.execute(run, []);
 		if (!ending.superseded) {
-			await ledger.close(claimed.owned, ending.outcome, ending.outcome.code === results.complete.code ? usageOf(ending) : undefined, true);
+			await ledger.close(claimed.owned, ending.outcome, ending.outcome.code === results.complete.code ? usageOf(ending) : undefined);
 		}
 	}
 
--- a/src/entry/ledger.ts
+++ b/src/entry/ledger.ts
@@ -122,18 +122,18 @@
 		}
 	}
 
-	/** Closes a claim with its outcome and usage. A patient close goes on until the table answers. */
-	async close(owned: Owned, full: Outcome, usage: Usage | undefined, patient: boolean): Promise<Closed> {
+	/** Closes a claim with its outcome and usage; goes on until the table answers or the process ends. */
+	async close(owned: Owned, full: Outcome, usage?: Usage): Promise<Closed> {
 		const {parts} = this;
-		for (let tries = 0; tries < (patient ? Number.POSITIVE_INFINITY : 1) && !parts.signal.aborted; tries++) {
+		while (!parts.signal.aborted) {
 			try {
 				const outcome = await this.stow(owned, full);
 				const transaction = closeClaim(owned, outcome, usage, parts.windowMs);
-				const result = await parts.batch.write(transaction, patient);
+				const result = await parts.batch.write(transaction);
 				const row = result.kind === 'conflict' ? result.row as Row<Claim> | undefined : undefined;
 				return result.kind === 'applied' || (row?.value.nonce === owned.claim.nonce && row.value.state === 'closed') ? 'closed' : 'superseded';
 			} catch {
-				await parts.clock.sleep(patient ? againMs : 0, parts.signal);
+				await parts.clock.sleep(againMs, parts.signal);
 			}
 		}
 
@@ -149,7 +149,7 @@
 			try {
 				const row = await this.read(key);
 				if (row?.value.nonce === nonce && row.value.state === 'open' && row.value.epoch === 1) {
-					await this.close({key, claim: row.value, version: row.version}, {code: results.storeUnavailable.code}, undefined, true);
+					await this.close({key, claim: row.value, version: row.version}, {code: results.storeUnavailable.code});
 				}
 
 				return;
--- a/src/entry/openapi.ts
+++ b/src/entry/openapi.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {resultOf, results} from '../results.js';
 import {schemas} from '../settings/schema.js';
 import {jobSchema} from './front.js';
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -1,5 +1,5 @@
 import type {FastifyReply} from 'fastify';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {Outcome} from '../decide/claim.js';
 import {
 	Failure, resultOf, results, type Result,
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A name of a route, pool, zone, upstream or member: no slash, no control character, at most 100 long. */
 export const name = z.string().min(1).max(100).regex(/^[\w.\-]+$/v, 'only letters, digits, dot, dash and underscore');
--- a/src/sidecar/workers.ts
+++ b/src/sidecar/workers.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {openWorker, type RunningTask, type Worker} from '../adapters/worker.js';
 import type {Size} from '../decide/pack.js';
 import {rendezvous} from '../decide/rendezvous.js';
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {AddressInfo} from 'node:net';
 import fastify from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
 	Check, Change, Row, Transaction, TransactionResult,
 } from '../ports/table.js';
--- a/src/standin/tables.ts
+++ b/src/standin/tables.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {name, schemas} from '../settings/schema.js';
 import type {Transaction} from '../ports/table.js';
 
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -298,3 +298,19 @@
 		t.true(whole(await cluster.put(cluster.entries[0]!, 'new-entries', bodies(6)), 6));
 	});
 });
+
+test.serial('an owner that its peers cannot reach and the one that took its job over tell one outcome, billed once', async t => {
+	await withCluster(async cluster => {
+		const [first, second] = cluster.entries;
+		const asked = cluster.put(first!, 'split', bodies(6, 4000), {deadlineMs: 20_000});
+		await sleep(250);
+		first!.proxy.closed = true;
+		first!.proxy.cut();
+		const reply = await cluster.put(second!, 'split', bodies(6, 4000), {deadlineMs: 20_000});
+		t.true(whole(reply, 6), JSON.stringify(reply));
+		t.true(whole(await asked, 6));
+		t.is(mostStarts(cluster), 1);
+		await sleep(500);
+		t.deepEqual(cluster.platform.rows('usage').map(row => (row.value as {jobs: number}).jobs), [1]);
+	});
+});
