Mend the check of docs/RESULTS.md

Cause: its pattern was not valid under the v flag, so the test threw. Change: the lines are compared as text. Figures: the case failed before and passes now.

--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -250,8 +250,8 @@
 });
 
 test('docs/RESULTS.md lists every result with its status', t => {
-	const page = readFileSync('docs/RESULTS.md', 'utf8');
+	const lines = readFileSync('docs/RESULTS.md', 'utf8').split('\n');
 	for (const [name, {code, status}] of Object.entries(results)) {
-		t.regex(page, new RegExp(String.raw`^\| ${code} \| ${name} \| [^|]+ \| ${status} \|`, 'mv'));
+		t.true(lines.some(line => line.startsWith(`| ${code} | ${name} | `) && line.includes(` | ${status} | `)), name);
 	}
 });
