--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -252,6 +252,6 @@
 test('docs/RESULTS.md lists every result with its status', t => {
 	const lines = readFileSync('docs/RESULTS.md', 'utf8').split('\n');
 	for (const [name, {code, status}] of Object.entries(results)) {
-		t.true(lines.some(line => line.startsWith(`| ${code} | ${name} | `) && line.includes(` | ${status} | `)), name);
+		t.true(lines.some(line => line.startsWith(`| ${code} | ${name} | `) && line.includes(` | ${status} | `)), `${name}`);
 	}
 });
