End what is under way before the drain time does; tell of new entries with starts

First: starts that carry a confirmation stand in for beats, and the lists of sessions came with beats only. Sidecars with steady work never learned of a new entry. Change: a start also says how new the lists are, and a newer one is fetched. Second: a stop closed the callers' port when the drain time was over, whatever was under way. Change: what is not done 3 s before that ends plainly, as past its deadline, and is answered.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -38,6 +38,8 @@
 const pingTicks = 4;
 /** How long a new entry waits for sidecars to announce themselves before it is ready without them, in milliseconds. */
 const gatherMs = 4000;
+/** How long before the end of its drain time a stopping entry ends what is under way, in milliseconds, so that it can be answered. */
+const answerMs = 3000;
 /** How long a stopping entry goes on serving after it stopped being ready, so that a balancer sees it, in milliseconds. */
 const lingerMs = 200;
 
@@ -160,6 +162,7 @@
 		jobs.draining = true;
 		log.info({underWay: jobs.size}, 'draining');
 		const until = clock.mono() + settings.drainMs;
+		jobs.finishBy(until - Math.min(answerMs, settings.drainMs / 2));
 		await clock.sleep(lingerMs);
 		while (!jobs.idle && clock.mono() < until) {
 			await clock.sleep(20);
--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -91,6 +91,9 @@
 
 	draining = false;
 	private readonly active = new Map<string, Active>();
+	/** Monotonic milliseconds by which every answer must be out. */
+	private until = Number.POSITIVE_INFINITY;
+	private readonly runs = new Set<Run>();
 	private closing = 0;
 	private unkeyed = 0;
 	private live = 0;
@@ -107,6 +110,16 @@
 		return this.live;
 	}
 
+	/** Makes every answer come out by a moment of the monotonic clock: what is not done by then ends as past its deadline. */
+	finishBy(moment: number): void {
+		this.until = moment;
+		setTimeout(() => {
+			for (const run of this.runs) {
+				run.expire();
+			}
+		}, Math.max(0, moment - this.parts.clock.mono())).unref();
+	}
+
 	/** Takes a submission to its outcome. One under a key that is under way here is joined. */
 	async submit(submission: Submission): Promise<Answered> {
 		if (submission.key === undefined) {
@@ -290,8 +303,10 @@
 		const {meter, dispatch} = this.parts;
 		const {member, bodies, claim} = run.work;
 		meter.enter(member, bodies.length);
+		this.runs.add(run);
 		dispatch.enter(run, tasks);
 		const ending = await run.ending;
+		this.runs.delete(run);
 		meter.leave(member, bodies.length);
 		if (!run.work.keyed) {
 			dispatch.release(claim, run.sessions);
@@ -308,7 +323,7 @@
 		do {
 			const refusal = this.judge(submission);
 			active.stage = 'claiming';
-			const claimed = await ledger.claim(key, claim, {lookOnly: refusal !== undefined, dead, deadline: refusal ? clock.mono() + lookMs : submission.deadline});
+			const claimed = await ledger.claim(key, claim, {lookOnly: refusal !== undefined, dead, deadline: refusal ? clock.mono() + lookMs : Math.min(submission.deadline, this.until)});
 			switch (claimed.kind) {
 				case 'absent': {
 					return refusal!;
@@ -350,7 +365,7 @@
 					break;
 				}
 			}
-		} while (clock.mono() < submission.deadline);
+		} while (clock.mono() < Math.min(submission.deadline, this.until));
 
 		return {code: joined ? results.deadlinePassed.code : results.deadline.code};
 	}
@@ -468,7 +483,7 @@
 	private async joinOwner(key: string, owner: string, deadline: number): Promise<Answered | undefined> {
 		const {clock} = this.parts;
 		let silent = 0;
-		while (clock.mono() < deadline) {
+		while (clock.mono() < Math.min(deadline, this.until)) {
 			const told = await this.ask(key, owner, false);
 			switch (told.kind) {
 				case 'ended': {
--- a/src/entry/roster.ts
+++ b/src/entry/roster.ts
@@ -152,7 +152,7 @@
 
 		const {feed} = this.parts;
 		return create(EchoSchema, {
-			entry: this.parts.address(), stamp: attendance.stamp, ageMs: feed.ageAt(attendance.heard), readable: feed.readable, version: feed.config.version,
+			entry: this.parts.address(), stamp: attendance.stamp, ageMs: feed.ageAt(attendance.heard), readable: feed.readable, version: feed.config.version, sessionsVersion: feed.sessionsVersion,
 		});
 	}
 
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -82,7 +82,7 @@
 		return isConfirmed(this.confirmations, this.known.size, this.config.version, this.parts.clock.mono());
 	}
 
-	/** Takes the confirmation that came with a start; a newer version is fetched at once. */
+	/** Takes the confirmation that came with a start; a newer version, of the tables or of the sessions, is fetched at once. */
 	take(echo: Echo): void {
 		const known = this.confirmations.get(echo.entry);
 		if (!this.loops.has(echo.entry) || echo.stamp < (known?.heard ?? 0)) {
@@ -92,8 +92,9 @@
 		this.confirmations.set(echo.entry, {
 			asOf: echo.stamp - echo.ageMs, heard: echo.stamp, readable: echo.readable, version: echo.version,
 		});
-		if (echo.version > this.config.version && echo.version !== this.fetching) {
-			this.fetching = echo.version;
+		const newest = Math.max(echo.version > this.config.version ? echo.version : 0, echo.sessionsVersion > this.sessionsVersion ? echo.sessionsVersion : 0);
+		if (newest > this.fetching) {
+			this.fetching = newest;
 			void this.beat(echo.entry);
 		}
 	}
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -25,6 +25,22 @@
 	return Math.max(0, ...counts.values());
 }
 
+/** Submits jobs to the entries that a balancer would choose until the signal aborts; resolves to all replies. */
+async function keepSubmitting(cluster: Cluster, signal: AbortSignal): Promise<Array<Reply | undefined>> {
+	const pending: Array<Promise<Reply | undefined>> = [];
+	for (let index = 0; !signal.aborted; index++) {
+		const ready = cluster.entries.filter(entry => entry.fate === 'alive' && entry.ready);
+		const entry = ready[index % ready.length];
+		if (entry) {
+			pending.push(cluster.put(entry, `stop-${index}`, bodies(3, 120)));
+		}
+
+		await sleep(25);
+	}
+
+	return Promise.all(pending);
+}
+
 const whole = (reply: Reply | undefined, tasks: number) => reply?.result === 0 && reply.body.tasks?.length === tasks;
 
 test.serial('a job resubmitted to two entries at the same instant runs once and both get the whole answer', async t => {
@@ -200,38 +216,44 @@
 
 test.serial('a graceful stop of each program in turn cuts no request', async t => {
 	await withCluster(async cluster => {
-		let index = 0;
 		const going = new AbortController();
-		const pending: Array<Promise<Reply | undefined>> = [];
-		const load = (async () => {
-			while (!going.signal.aborted) {
-				const alive = cluster.entries.filter(entry => entry.fate === 'alive' && entry.ready);
-				pending.push(cluster.put(alive[index % alive.length]!, `stop-${index++}`, bodies(3, 120)));
-				await sleep(25);
+		const load = keepSubmitting(cluster, going.signal);
+		try {
+			await sleep(400);
+			for (const number of cluster.sidecars.keys()) {
+				t.is(await cluster.stop(cluster.sidecars[number]!), 0);
+				await cluster.startSidecar(number);
+				await sleep(1500);
 			}
-		})();
-		await sleep(400);
-		for (const number of cluster.sidecars.keys()) {
-			t.is(await cluster.stop(cluster.sidecars[number]!), 0);
-			await cluster.startSidecar(number);
-			await sleep(1500);
-		}
 
-		for (const number of cluster.entries.keys()) {
-			t.is(await cluster.stop(cluster.entries[number]!), 0);
-			await cluster.startEntry(number);
-			await cluster.settle();
+			for (const number of cluster.entries.keys()) {
+				t.is(await cluster.stop(cluster.entries[number]!), 0);
+				await cluster.startEntry(number);
+				await cluster.settle();
+			}
+		} finally {
+			going.abort();
 		}
 
-		going.abort();
-		await load;
-		const got = await Promise.all(pending);
+		const got = await load;
 		const draining = got.filter(reply => reply?.result === results.draining.code).length;
 		t.is(got.filter(reply => whole(reply, 3)).length + draining, got.length, `${JSON.stringify(got.filter(reply => !whole(reply, 3)).slice(0, 5))}`);
 		t.is(mostStarts(cluster), 1);
 	});
 });
 
+test.serial('a job that outlasts the drain time is answered plainly before its entry leaves', async t => {
+	await withCluster(async cluster => {
+		const [entry] = cluster.entries;
+		const asked = [cluster.put(entry!, 'outlast', bodies(3, 15_000), {deadlineMs: 60_000}), cluster.post(entry!, 'again', {ms: 15_000})];
+		await sleep(300);
+		t.is(await cluster.stop(entry!), 0);
+		const [job, sent] = await Promise.all(asked);
+		t.is(job?.result, results.deadlinePassed.code);
+		t.is(sent?.result, results.deadlinePassed.code);
+	}, {drainMs: 5000});
+});
+
 test.serial('of two operators who race one wins and the other is told the current version; a change retried applies once', async t => {
 	await withCluster(async cluster => {
 		const [first, second] = cluster.entries;
