--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -89,7 +89,7 @@
 				}
 			}
 
-			await Promise.all([...cancelled].map(async index => cluster.ask(cluster.entries[index % cluster.entries.length]!.urls.callers!, {method: 'DELETE', path: `/v1/jobs/bench-${index}`})));
+			await Promise.all([...cancelled].map(async index => cluster.ask(cluster.entries[index % cluster.entries.length]!.urls.callers!, {method: 'DELETE', path: `/v1/jobs/bench-${index}`, member: memberOf(index)})));
 		},
 	},
 	rolling: {
@@ -196,7 +196,7 @@
 			declared: off > 0 ? ms.map(one => Math.round(one * (off ** ((2 * random.next()) - 1)))) : undefined,
 			kind,
 			index,
-			member: flooding ?? index % 2 === 0 ? 'alpha' : 'beta',
+			member: flooding ? 'alpha' : memberOf(index),
 			deadlineMs: scenario.deadlineMs ?? 30_000,
 		});
 		const work = meanMs * ((0.75 * 1) + (0.25 * 4.5));
@@ -206,6 +206,10 @@
 	return arrivals;
 }
 
+function memberOf(index: number): MemberName {
+	return index % 2 === 0 ? 'alpha' : 'beta';
+}
+
 function taskMs(random: Random): number {
 	if (random.next() < longShare) {
 		return longMs[0] + ((longMs[1] - longMs[0]) * random.next());
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -50,6 +50,12 @@
 	app.addHook('onResponse', async (request, reply) => {
 		parts.meters.answered(request.routeOptions.url ?? '', String(reply.getHeader('sniperidge-result') ?? ''));
 	});
+	app.addHook('onSend', async (_request, reply) => {
+		if (parts.jobs.draining) {
+			// So that no caller sends its next request on a connection that is about to be closed.
+			void reply.header('connection', 'close');
+		}
+	});
 	const front = new Front(parts);
 	app.put('/v1/jobs/:key', async (request, reply) => front.put(request, reply));
 	app.get('/v1/jobs/:key', async (request, reply) => front.get(request, reply));
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'ava';
+import {request} from 'undici';
 import {results} from '../src/results.js';
 import {Cluster, type Reply} from './cluster.js';
 
@@ -247,7 +248,13 @@
 		const [entry] = cluster.entries;
 		const asked = [cluster.put(entry!, 'outlast', bodies(3, 15_000), {deadlineMs: 60_000}), cluster.post(entry!, 'again', {ms: 15_000})];
 		await sleep(300);
-		t.is(await cluster.stop(entry!), 0);
+		const left = cluster.stop(entry!);
+		await sleep(400);
+		const refused = await request(`${entry!.urls.callers!}/readyz`, {dispatcher: cluster.agent});
+		await refused.body.dump();
+		t.is(refused.statusCode, 503);
+		t.is(refused.headers.connection, 'close');
+		t.is(await left, 0);
 		const [job, sent] = await Promise.all(asked);
 		t.is(job?.result, results.deadlinePassed.code);
 		t.is(sent?.result, results.deadlinePassed.code);
