A paused entry does not take its pause for an outage

The entry was paused while its outcome was being written; on waking the 2 s after which an answer is told unwritten had passed, and the timer came before the table's reply. Ruled out: the table being away (it was slow). Change: past the 2 s an answer waits on while the table is read.

--- a/src/entry/jobs.ts
+++ b/src/entry/jobs.ts
@@ -438,9 +438,7 @@
 		const usage = outcome.code === results.complete.code ? usageOf(ending) : undefined;
 		const closing = this.closeAndRelease(owned, outcome, usage, run);
 		void this.later(closing);
-		const enough = new AbortController();
-		const closed = await Promise.race([closing, this.parts.clock.sleep(writeMs, enough.signal)]);
-		enough.abort();
+		const closed = await this.waitWritten(closing);
 		if (closed === 'superseded') {
 			return undefined;
 		}
@@ -449,6 +447,19 @@
 		return told ? outcome : {code: results.storeUnavailable.code, retryMs: 1000};
 	}
 
+	/** Waits for a write for a while, and for longer as long as the table is read: a process that was paused must not take its pause for an outage. */
+	private async waitWritten(closing: Promise<Closed>): Promise<Closed | undefined> {
+		const {clock, feed} = this.parts;
+		const written = new AbortController();
+		let closed: Closed | undefined;
+		do {
+			closed = await Promise.race([closing, clock.sleep(writeMs, written.signal).then(() => undefined)]);
+		} while (!closed && feed.readable && clock.mono() < this.until);
+
+		written.abort();
+		return closed;
+	}
+
 	/** What sidecars hold for a claim may go only once its outcome is written: a takeover would miss it. */
 	private async closeAndRelease(owned: Owned, outcome: Outcome, usage: Usage | undefined, run: Run): Promise<Closed> {
 		const closed = await this.parts.ledger.close(owned, outcome, usage);
