Drop what nothing calls: per-member counts of the queue, result 205

Cause: a last reading of the change. The fair queue kept a count of each member's tasks for two methods that nobody calls, at each add and take; the results listed 205, which nothing sends. The fault cases were not run again. Conclusion: no behaviour changes.

--- a/src/decide/share.ts
+++ b/src/decide/share.ts
@@ -3,7 +3,7 @@
 /** Waiting is one queued task: whose it is, when it is due, and how long it should take. */
 export type Waiting = {member: string; deadline: number; costMs: number};
 
-type Line<Task> = {heap: Heap<Task>; finish: number; count: number};
+type Line<Task> = {heap: Heap<Task>; finish: number};
 
 /**
  * Queue holds the tasks that wait for one pool and shares the pool among members by weight.
@@ -31,7 +31,7 @@
 		const line = this.lines.get(task.member);
 		const idle = !line?.heap;
 		const finish = idle ? Math.max(line?.finish ?? 0, this.virtual) : line.finish;
-		const next = {heap: push(line?.heap, task.deadline, task), finish, count: (line?.count ?? 0) + 1};
+		const next = {heap: push(line?.heap, task.deadline, task), finish};
 		return new Queue(new Map(this.lines).set(task.member, next), this.virtual, this.size + 1, this.costMs + task.costMs);
 	}
 
@@ -48,7 +48,7 @@
 		}
 
 		const {costMs} = line.heap.value;
-		const next = {heap: pop(line.heap), finish: line.finish + (costMs / weight), count: line.count - 1};
+		const next = {heap: pop(line.heap), finish: line.finish + (costMs / weight)};
 		return new Queue(new Map(this.lines).set(member, next), Math.max(this.virtual, line.finish), this.size - 1, this.costMs - costMs);
 	}
 
@@ -57,16 +57,6 @@
 		return this.take(member, Number.POSITIVE_INFINITY);
 	}
 
-	/** The tasks that wait for one member. */
-	countOf(member: string): number {
-		return this.lines.get(member)?.count ?? 0;
-	}
-
-	/** The members that have tasks waiting. */
-	waiting(): string[] {
-		return [...this.lines].filter(([, line]) => line.heap).map(([member]) => member);
-	}
-
 	private head(skip?: (member: string) => boolean): [string, Line<Task>] | undefined {
 		let best: [string, Line<Task>] | undefined;
 		for (const entry of this.lines) {
--- a/src/results.ts
+++ b/src/results.ts
@@ -129,9 +129,6 @@
 	incomplete: {
 		code: 204, kind: 'failed', status: 502, resubmit: 'no', text: 'Some tasks ran and the others could not be started.',
 	},
-	tooLarge: {
-		code: 205, kind: 'failed', status: 502, resubmit: 'no', text: 'The answer ran over the limit on size.',
-	},
 	versionConflict: {
 		code: 300, kind: 'operator', status: 412, resubmit: 'after-change', text: 'Somebody else changed the row; the current version is given.',
 	},
