Ask for leave once more as a start goes out

The sidecar judged a start and handed it to undici, which may open a connection or wait for one first; a process stopped in between sent it when woken, five seconds after the zone was out. Ruled out: old confirmations in buffers (they are dated by the sidecar's own clock) and queued tasks (judged again at their turn). Change: the bytes of a start go out only if the configuration still allows it at that moment; a start that may not, or that is withdrawn or fails before its bytes are written, is refused and truly not run. A table of cases with one connection shows it without a race. The new cases fail without the check.

--- a/src/adapters/backend.ts
+++ b/src/adapters/backend.ts
@@ -1,12 +1,14 @@
 import {Buffer} from 'node:buffer';
 import {Pool, type Dispatcher} from 'undici';
-import type {Answer, Backend, Run} from '../ports/upstream.js';
+import type {
+	Answer, Backend, Permit, Run,
+} from '../ports/upstream.js';
 
 /** The longest that a back end may take for one task, in milliseconds. */
 const runLimitMs = 120_000;
 
-/** Errors that come before anything was sent. */
-const beforeSending = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+/** How much of a failed answer is told to the caller, in bytes. */
+const detailLimit = 200;
 
 /** The headers that a back end gets with a task; their source is docs/OPERATING.md, "What a back end sees". */
 export function runHeaders(run: Run): Record<string, string> {
@@ -26,29 +28,74 @@
 		connections, pipelining: 1, headersTimeout: runLimitMs, bodyTimeout: runLimitMs,
 	});
 	return {
-		run: async (run, signal) => exchange(pool, {
-			method: 'POST', path: pathname, headers: runHeaders(run), body: run.body, signal,
-		}),
+		run: async (run, permit) => exchange(pool, {
+			method: 'POST', path: pathname, headers: runHeaders(run), body: run.body,
+		}, permit),
 		async close() {
 			await pool.destroy();
 		},
 	};
 }
 
-/** Sends one request that starts a task and sorts what comes of it. */
-export async function exchange(pool: Pool, request: Dispatcher.RequestOptions): Promise<Answer> {
-	try {
-		const reply = await pool.request(request);
-		const body = Buffer.from(await reply.body.arrayBuffer());
-		const contentType = String(reply.headers['content-type'] ?? 'application/octet-stream');
-		if (reply.statusCode >= 200 && reply.statusCode < 300) {
-			return {kind: 'done', body, contentType};
-		}
-
-		const detail = `status ${reply.statusCode}: ${body.subarray(0, 200).toString()}`;
-		return reply.headers['sniperidge-not-started'] === 'true' ? {kind: 'refused', detail} : {kind: 'failed', detail};
-	} catch (error) {
-		const {code, message} = error as {code?: string; message: string};
-		return {kind: beforeSending.has(code ?? '') ? 'refused' : 'unknown', detail: message};
+/**
+ * Sends one request that starts a task and sorts what comes of it. Leave is asked for once more as
+ * the bytes go out, since a request may have waited long for its connection; until then an abort or
+ * an error means that nothing was started.
+ */
+export async function exchange(pool: Dispatcher, request: Dispatcher.DispatchOptions, permit: Permit): Promise<Answer> {
+	return new Promise(resolve => {
+		pool.dispatch(request, receiver(permit, resolve));
+	});
+}
+
+function receiver({signal, allowed}: Permit, settle: (answer: Answer) => void): Dispatcher.DispatchHandler {
+	const chunks: Uint8Array[] = [];
+	let sent = false;
+	let status = 0;
+	let headers: Record<string, string | string[] | undefined> = {};
+	let stop = (): void => {
+		settle({kind: 'refused', detail: 'withdrawn before it was sent'});
+	};
+
+	const abort = (): void => {
+		stop();
+	};
+
+	signal.addEventListener('abort', abort, {once: true});
+	return {
+		onRequestStart(controller) {
+			if (signal.aborted || !allowed()) {
+				throw new Error('may no longer start');
+			}
+
+			sent = true;
+			stop = () => {
+				controller.abort(new Error('aborted'));
+			};
+		},
+		onResponseStart(_controller, code, received) {
+			status = code;
+			headers = received;
+		},
+		onResponseData(_controller, chunk) {
+			chunks.push(chunk);
+		},
+		onResponseEnd() {
+			signal.removeEventListener('abort', abort);
+			settle(sort(status, headers, Buffer.concat(chunks)));
+		},
+		onResponseError(_controller, error) {
+			signal.removeEventListener('abort', abort);
+			settle({kind: sent ? 'unknown' : 'refused', detail: error.message});
+		},
+	};
+}
+
+function sort(status: number, headers: Record<string, string | string[] | undefined>, body: Uint8Array): Answer {
+	if (status >= 200 && status < 300) {
+		return {kind: 'done', body, contentType: String(headers['content-type'] ?? 'application/octet-stream')};
 	}
+
+	const detail = `status ${status}: ${Buffer.from(body.subarray(0, detailLimit)).toString()}`;
+	return {kind: headers['sniperidge-not-started'] === 'true' ? 'refused' : 'failed', detail};
 }
--- a/src/adapters/worker.ts
+++ b/src/adapters/worker.ts
@@ -1,6 +1,6 @@
 import {Pool} from 'undici';
 import type {Size} from '../decide/pack.js';
-import type {Answer, Run} from '../ports/upstream.js';
+import type {Answer, Permit, Run} from '../ports/upstream.js';
 import {exchange, runHeaders} from './backend.js';
 
 /** Usage is what a worker had in use at a wall-clock time on its own clock. */
@@ -20,7 +20,7 @@
 export type Worker = {
 	/** Takes the lease under an epoch and returns what runs. Rejects when a higher epoch holds it. */
 	lease(owner: string, epoch: number): Promise<RunningTask[]>;
-	run(run: Run, epoch: number, signal: AbortSignal): Promise<Answer>;
+	run(run: Run, epoch: number, permit: Permit): Promise<Answer>;
 	usage(): Promise<Usage>;
 	step(id: string, step: 'throttle' | 'checkpoint' | 'stop'): Promise<void>;
 	close(): Promise<void>;
@@ -51,7 +51,7 @@
 			const reply = await ask('PUT', '/v1/lease', {owner, epoch}) as {tasks: RunningTask[]};
 			return reply.tasks;
 		},
-		run: async (run, epoch, signal) => exchange(pool, {
+		run: async (run, epoch, permit) => exchange(pool, {
 			method: 'POST',
 			path: '/v1/tasks',
 			headers: {
@@ -62,8 +62,7 @@
 				'sniperidge-accelerators': String(run.accelerators),
 			},
 			body: run.body,
-			signal,
-		}),
+		}, permit),
 		usage: async () => await ask('GET', '/v1/usage') as Usage,
 		async step(id, step) {
 			await ask('POST', `/v1/tasks/${encodeURIComponent(id)}/${step}`, {});
--- a/src/ports/upstream.ts
+++ b/src/ports/upstream.ts
@@ -24,8 +24,11 @@
 		| {kind: 'refused'; detail: string}
 		| {kind: 'unknown'; detail: string};
 
+/** Permit is the leave to start a run: `allowed` is asked at the last moment, and an abort of `signal` stops the run. */
+export type Permit = {signal: AbortSignal; allowed(): boolean};
+
 /** Backend starts runs on one upstream or one worker. It never rejects. */
 export type Backend = {
-	run(run: Run, signal: AbortSignal): Promise<Answer>;
+	run(run: Run, permit: Permit): Promise<Answer>;
 	close(): Promise<void>;
 };
--- a/src/sidecar/gate.ts
+++ b/src/sidecar/gate.ts
@@ -266,10 +266,16 @@
 
 	private async run(held: Held, live: Live): Promise<void> {
 		const {request, place} = live;
-		const answer = await place.run(runOf(request), request.repeatable, live.abort.signal);
+		let hindered: number | undefined;
+		const allowed = () => {
+			hindered = hindrance({...this.conditions(place, request), draining: false});
+			return hindered === undefined;
+		};
+
+		const answer = await place.run(runOf(request), request.repeatable, {signal: live.abort.signal, allowed});
 		if (answer.kind === 'refused') {
 			this.counts.started--;
-			this.withdraw(held, request.task, request.epoch, results.upstreamOut.code);
+			this.withdraw(held, request.task, request.epoch, hindered ?? results.upstreamOut.code);
 		} else {
 			this.end(held, live, answer);
 		}
--- a/src/sidecar/place.ts
+++ b/src/sidecar/place.ts
@@ -5,7 +5,9 @@
 	fits, freeSize, relieve, report, type Held, type Size, type WorkerLoad,
 } from '../decide/pack.js';
 import type {Clock} from '../ports/clock.js';
-import type {Answer, Backend, Run} from '../ports/upstream.js';
+import type {
+	Answer, Backend, Permit, Run,
+} from '../ports/upstream.js';
 
 /** Place is what a sidecar starts tasks on: its upstream, or a worker that it owns. */
 export type Place = {
@@ -16,7 +18,7 @@
 	/** Says whether the place could begin the run now. */
 	free(run: Run): boolean;
 	/** Starts the run. Never rejects. `repeatable` says whether it may be stopped under pressure. */
-	run(run: Run, repeatable: boolean, signal: AbortSignal): Promise<Answer>;
+	run(run: Run, repeatable: boolean, permit: Permit): Promise<Answer>;
 	/** Describes the place as it stands, for entries. */
 	describe(): PlaceReport;
 	close(): Promise<void>;
@@ -36,9 +38,9 @@
 		return this.running < this.slots;
 	}
 
-	async run(run: Run, _repeatable: boolean, signal: AbortSignal): Promise<Answer> {
+	async run(run: Run, _repeatable: boolean, permit: Permit): Promise<Answer> {
 		this.running++;
-		const answer = await this.backend.run(run, signal);
+		const answer = await this.backend.run(run, permit);
 		this.running--;
 		return answer;
 	}
@@ -87,7 +89,7 @@
 		return fits(this.load, run.route, run);
 	}
 
-	async run(run: Run, repeatable: boolean, signal: AbortSignal): Promise<Answer> {
+	async run(run: Run, repeatable: boolean, {signal, allowed}: Permit): Promise<Answer> {
 		const id = `${run.claim}#${run.task}`;
 		const stop = new AbortController();
 		const held: Held = {
@@ -99,7 +101,7 @@
 		};
 		this.stops.set(id, stop);
 		this.load = {...this.load, held: [...this.load.held, held]};
-		const answer = await this.worker.run(run, this.epoch, AbortSignal.any([signal, stop.signal]));
+		const answer = await this.worker.run(run, this.epoch, {signal: AbortSignal.any([signal, stop.signal]), allowed});
 		this.load = {...this.load, held: this.load.held.filter(other => other !== held)};
 		this.stops.delete(id);
 		return answer;
--- /dev/null
+++ b/test/backend.test.ts
@@ -0,0 +1,65 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import {openUpstream} from '../src/adapters/backend.js';
+import type {Run} from '../src/ports/upstream.js';
+import {SampleBackend} from '../src/standin/backend.js';
+
+const never = new AbortController().signal;
+const run = (task: number, ms: number): Run => ({
+	claim: 'alpha/k',
+	task,
+	epoch: 1,
+	member: 'alpha',
+	route: 'r',
+	body: new TextEncoder().encode(JSON.stringify({ms})),
+	contentType: 'application/json',
+	cores: 0,
+	memoryMb: 0,
+	accelerators: 0,
+});
+
+/** Runs one task that holds the only connection and a second that waits for it, and tells how the second ended. */
+async function second(meanwhile: (stop: AbortController) => void, allowed: () => boolean) {
+	const backend = await SampleBackend.create({name: 'minion', zone: 'zone', slowness: 1});
+	const upstream = openUpstream(backend.url, 1);
+	const stop = new AbortController();
+	const first = upstream.run(run(0, 150), {signal: never, allowed: () => true});
+	const waiting = upstream.run(run(1, 1), {signal: stop.signal, allowed});
+	await sleep(50);
+	meanwhile(stop);
+	const answer = await waiting;
+	const {kind} = await first;
+	const last = await upstream.run(run(2, 1), {signal: never, allowed: () => true});
+	await upstream.close();
+	await backend.close();
+	return {kinds: [kind, answer.kind, last.kind], started: backend.starts.map(({task}) => task)};
+}
+
+test('a run whose leave is gone when its connection comes is refused and was not started', async t => {
+	let open = true;
+	const {kinds, started} = await second(() => {
+		open = false;
+	}, () => open);
+	t.deepEqual(kinds, ['done', 'refused', 'done']);
+	t.deepEqual(started, [0, 2]);
+});
+
+test('a run withdrawn while it waits for a connection is refused at once and was not started', async t => {
+	const {kinds, started} = await second(stop => {
+		stop.abort();
+	}, () => true);
+	t.deepEqual(kinds, ['done', 'refused', 'done']);
+	t.deepEqual(started, [0, 2]);
+});
+
+test('a run withdrawn while it runs is unknown', async t => {
+	const backend = await SampleBackend.create({name: 'minion', zone: 'zone', slowness: 1});
+	const upstream = openUpstream(backend.url, 1);
+	const stop = new AbortController();
+	const running = upstream.run(run(0, 500), {signal: stop.signal, allowed: () => true});
+	await sleep(100);
+	stop.abort();
+	t.is((await running).kind, 'unknown');
+	await upstream.close();
+	await backend.close();
+});
