--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -178,7 +178,9 @@
 		cluster.platform.fault({loseReplies: 1 + Math.floor(random.next() * 4)});
 	},
 	async cutStore({cluster}) {
-		cluster.storeProxy.cut();
+		for (const node of [...cluster.entries, ...cluster.sidecars]) {
+			node.store.cut();
+		}
 	},
 	cutSidecar: async scene => withProxy(scene, async node => {
 		node.proxy.cut();
--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -54,6 +54,7 @@
 				peer = {
 					beat: async (request, call) => client.beat(request, options(call)),
 					join: async (request, call) => client.join(request, options(call)),
+					prepare: async (request, call) => client.prepare(request, options(call)),
 					push: async (request, call) => client.push(request, options(call)),
 				};
 				entries.set(address, peer);
--- /dev/null
+++ b/src/decide/announce.ts
@@ -0,0 +1,41 @@
+import {rank} from './rendezvous.js';
+
+/** Hearing is when an entry was last heard and last tried, in monotonic milliseconds. */
+export type Hearing = {entry: string; heard: number; tried: number};
+
+/** Need is why announcements are made: to stay known, or to have a fresh confirmation for what waits. */
+export type Need = 'presence' | 'fresh';
+
+/** Each entry is spoken to when it has been silent for so long, in milliseconds. */
+const pairMs = 12_000;
+/** Some entry is spoken to when all have been silent for so long, so that changes are heard of, in milliseconds. */
+const anyMs = 4000;
+/** What a fresh confirmation may be old when one is needed, in milliseconds. */
+const freshMs = 1200;
+/** An entry that does not answer is tried again no sooner, in milliseconds. */
+const againMs = 1000;
+
+/** The most entries that a sidecar announces itself to. */
+export const subsetSize = 16;
+
+/** Returns the entries that a sidecar session announces itself to: all while they are few, else a stable choice by rendezvous. */
+export function subset(session: string, entries: readonly string[], size = subsetSize): readonly string[] {
+	return entries.length <= size ? entries : rank(session, entries).slice(0, size);
+}
+
+/**
+ * Returns the entries to speak to now. Starts and their answers count as speaking, so that a sidecar
+ * with work announces itself little.
+ */
+export function due(hearings: readonly Hearing[], need: Need, now: number): string[] {
+	const ready = hearings.filter(({tried}) => now - tried >= againMs);
+	const limit = need === 'fresh' ? freshMs : pairMs;
+	const late = ready.filter(({heard}) => now - heard > limit);
+	if (late.length > 0) {
+		return late.map(({entry}) => entry);
+	}
+
+	const quiet = hearings.every(({heard}) => now - heard > anyMs);
+	const oldest = ready.toSorted((a, b) => a.heard - b.heard)[0];
+	return quiet && oldest ? [oldest.entry] : [];
+}
--- a/src/decide/confirm.ts
+++ b/src/decide/confirm.ts
@@ -9,6 +9,8 @@
 	heard: number;
 	/** Whether the entry can read the table. */
 	readable: boolean;
+	/** Whether a change may have been accepted that the entry has not read yet. */
+	pending: boolean;
 	version: number;
 };
 
@@ -16,8 +18,9 @@
  * Says whether a task may start now under configuration `version`.
  *
  * One entry that has read the table within the bound suffices. When none has, the table may be out
- * of reach of all, and then no change can be accepted: more than half of the known entries must say
- * so, within the bound, and none of them may know a newer version.
+ * of reach of all, and then no change can be accepted: more than half of the entries that this
+ * sidecar announces itself to must say so, within the bound. One that knows a newer version, or was
+ * told of a change that it has not read, does not count. See `acksNeeded` for why half is enough.
  */
 export function isConfirmed(confirmations: ReadonlyMap<string, Confirmation>, known: number, version: number, now: number): boolean {
 	let unreadable = 0;
@@ -26,10 +29,18 @@
 			return true;
 		}
 
-		if (!confirmation.readable && now - confirmation.heard <= confirmMaxMs && confirmation.version <= version) {
+		if (!confirmation.readable && !confirmation.pending && now - confirmation.heard <= confirmMaxMs && confirmation.version <= version) {
 			unreadable++;
 		}
 	}
 
 	return unreadable > known / 2;
 }
+
+/**
+ * Returns how many entries, the accepting one included, must have been told of a change before it
+ * is written: so many that more than half of any sidecar's subset cannot all have missed it.
+ */
+export function acksNeeded(entries: number, subset: number): number {
+	return entries - Math.floor(Math.min(entries, subset) / 2);
+}
--- a/src/decide/estimate.ts
+++ b/src/decide/estimate.ts
@@ -12,7 +12,7 @@
 
 	private constructor(
 		private readonly routes: ReadonlyMap<string, RouteTimes>,
-		private readonly places: ReadonlyMap<string, Ratio>,
+		private readonly places: ReadonlyMap<string, Pace>,
 	) {}
 
 	/** The milliseconds that a task of the route takes on an ordinary place, when this much is declared. */
@@ -21,28 +21,37 @@
 		return times ? declaredMs * blend(times.mean, routePrior) : declaredMs;
 	}
 
-	/** How many times longer than ordinary the place takes. */
-	slowness(place: string): number {
-		const ratio = this.places.get(place);
-		if (!ratio) {
+	/** The same by the mean of logarithms, which is what a place's pace is measured against. */
+	usualMs(route: string, declaredMs: number): number {
+		return declaredMs * Math.exp(this.routes.get(route)?.log ?? 0);
+	}
+
+	/** How many times longer than ordinary the place takes, by what was learned here or, where that comes from more runs, by what the place's sidecar told. */
+	slowness(place: string, told?: Pace): number {
+		const own = this.places.get(place);
+		const pace = told && told.count > (own?.count ?? 0) ? told : own;
+		if (!pace) {
 			return 1;
 		}
 
-		const shifted = ratio.count > shiftAfter && Math.abs(ratio.fast - ratio.slow) > shift;
-		return Math.exp((shifted ? ratio.fast : ratio.slow) * ratio.count / (ratio.count + placePrior));
+		const {slow, fast, count} = pace;
+		const shifted = count > shiftAfter && Math.abs(fast - slow) > shift;
+		return Math.exp((shifted ? fast : slow) * count / (count + placePrior));
 	}
 
 	/** Returns the estimate after one run of a task that was declared to take so long. */
-	observe({route, place, ranMs, declaredMs}: Observation): Estimate {
+	observe({
+		route, place, ranMs, declaredMs, told,
+	}: Observation): Estimate {
 		const times = this.routes.get(route);
 		const ratio = Math.max(ranMs, 1) / declaredMs;
 		const log = Math.log(ratio);
-		const slowness = this.slowness(place);
+		const slowness = this.slowness(place, told);
 		const usual = times?.log ?? log - Math.log(slowness);
 		const ordinary = ratio / slowness;
 		return new Estimate(
 			new Map(this.routes).set(route, {mean: follow(times?.mean, ordinary, routeRate), log: usual + ((Math.log(ordinary) - usual) * weight(times?.mean.count ?? 0, routeRate))}),
-			new Map(this.places).set(place, learn(this.places.get(place), log - usual)),
+			new Map(this.places).set(place, learnPace(this.places.get(place), log - usual)),
 		);
 	}
 
@@ -56,13 +65,14 @@
 	}
 }
 
-/** Observation is one run of a task: how long it took and was declared to take, in milliseconds. */
-export type Observation = {route: string; place: string; ranMs: number; declaredMs: number};
+/** Observation is one run of a task: how long it took and was declared to take, in milliseconds, and the place's pace as told. */
+export type Observation = {route: string; place: string; ranMs: number; declaredMs: number; told?: Pace};
+
+/** Pace is a place's mean logarithm of actual over ordinary time, followed slowly and fast, from so many runs. */
+export type Pace = {slow: number; fast: number; count: number};
 
 type Mean = {value: number; count: number};
 type RouteTimes = {mean: Mean; log: number};
-/** A place's log ratio to ordinary, followed slowly and fast. */
-type Ratio = {slow: number; fast: number; count: number};
 
 /** How strongly the declared time and ordinary slowness hold, counted in runs. */
 const routePrior = 3;
@@ -75,8 +85,9 @@
 const shift = 1.2;
 const shiftAfter = 8;
 
-function learn(ratio: Ratio | undefined, log: number): Ratio {
-	const {slow, fast, count} = ratio ?? {slow: log, fast: log, count: 0};
+/** Returns a pace after one more run, by the logarithm of its actual over its ordinary time. */
+export function learnPace(pace: Pace | undefined, log: number): Pace {
+	const {slow, fast, count} = pace ?? {slow: log, fast: log, count: 0};
 	return {slow: slow + ((log - slow) * weight(count, slowRate)), fast: fast + ((log - fast) * weight(count, fastRate)), count: count + 1};
 }
 
--- a/src/decide/member.ts
+++ b/src/decide/member.ts
@@ -1,23 +1,28 @@
-/** Presence is when a sidecar was last heard and since when it has been back. Monotonic milliseconds. */
-export type Presence = {heard: number; since: number};
+/** Presence is when a sidecar was last heard, since when it has been back, and when it last failed to answer. Monotonic milliseconds. */
+export type Presence = {heard: number; since: number; doubted?: number};
 
 /** Stage is how far a sidecar is trusted: live, suspected (no new work) or gone (removed). */
 export type Stage = 'live' | 'suspect' | 'gone';
 
-/** Silence after which a sidecar gets no new work. */
-export const suspectMs = 6000;
+/** Silence after which a sidecar gets no new work; an idle one speaks every 12 s. */
+const suspectMs = 16_000;
 /** Silence after which a sidecar is removed. */
-export const goneMs = 12_000;
-/** Silence after which a session is written as lost, by whoever notices. */
-export const lostMs = 30_000;
+const goneMs = 20_000;
+/** How long a sidecar that failed to answer gets no new work unless it is heard. */
+const doubtMs = 2000;
+/** Silence after which a session counts as missed where it should be heard. */
+export const missedMs = 16_000;
+/** How long a session is missed before it is written as lost, by whoever notices. */
+export const lostMs = 15_000;
 /** How long a returned place takes to reach its full slots. */
 const rampMs = 2000;
 
 /** Says how far a sidecar is trusted after this silence. */
 export function stageOf(presence: Presence, now: number): Stage {
 	const silence = now - presence.heard;
+	const doubted = presence.doubted !== undefined && presence.doubted > presence.heard && now - presence.doubted < doubtMs;
 	if (silence < suspectMs) {
-		return 'live';
+		return doubted ? 'suspect' : 'live';
 	}
 
 	return silence < goneMs ? 'suspect' : 'gone';
--- a/src/entry/admin.ts
+++ b/src/entry/admin.ts
@@ -36,6 +36,8 @@
 	table: Table;
 	feed: Feed;
 	token: string | undefined;
+	/** Tells the other entries that a change may be written within so many milliseconds; resolves to whether enough of them know. */
+	prepare(withinMs: number): Promise<boolean>;
 	/** Hands the newest configuration to the other entries and resolves to where a version is in force. */
 	spread(version: number): Promise<InForce>;
 	status(): unknown;
@@ -45,8 +47,8 @@
 
 const waitLimitMs = 10_000;
 const lookMs = 100;
-/** How long a write whose reply was lost is tried again, in milliseconds. */
-const settleMs = 3000;
+/** How long a change may take from telling the other entries of it until it was heard to be written, in milliseconds. */
+const changeMs = 5000;
 const tables = Object.keys(schemas) as ConfigTable[];
 
 /** Builds the operators' port: the configuration tables, the audit trail, status and usage. */
@@ -132,7 +134,12 @@
 		const entry: AuditEntry = {
 			change: id, at: clock.now(), who: whoOf(request), table: change.table, key: change.key, before: before?.value, after: change.after,
 		};
-		const result = await this.write(transactionOf(change, entry));
+		const until = clock.mono() + changeMs;
+		if (!await this.parts.prepare(changeMs)) {
+			throw Failure.create('entriesUnheard');
+		}
+
+		const result = await this.write(transactionOf(change, entry), until);
 		const version = result.kind === 'applied' ? result.version : await this.settle(result, change, entry);
 		await feed.refresh();
 		const inForce = await this.wait(version, Number((request.query as {waitMs?: string}).waitMs ?? 0));
@@ -162,20 +169,25 @@
 		throw Failure.create('versionConflict', undefined, {version: result.row?.version ?? 0, current: result.row?.value});
 	}
 
-	private async write(transaction: Transaction): Promise<TransactionResult> {
-		const until = this.parts.clock.mono() + settleMs;
-		for (;;) {
+	/** Writes a change; one that was not heard to be written in time is not accepted, since entries may vouch for the old configuration again. */
+	private async write(transaction: Transaction, until: number): Promise<TransactionResult> {
+		const {clock, table} = this.parts;
+		while (clock.mono() < until) {
 			try {
-				const [result] = await this.parts.table.write([transaction]);
-				return result!;
+				const [result] = await table.write([transaction]);
+				if (clock.mono() < until) {
+					return result!;
+				}
 			} catch (error) {
-				if (!(error instanceof StoreError) || this.parts.clock.mono() > until) {
-					throw Failure.create('changeUnknown');
+				if (!(error instanceof StoreError)) {
+					break;
 				}
 
-				await this.parts.clock.sleep(lookMs);
+				await clock.sleep(lookMs);
 			}
 		}
+
+		throw Failure.create('changeUnknown');
 	}
 
 	private async wait(version: number, waitMs: number): Promise<InForce> {
--- /dev/null
+++ b/src/entry/admission.ts
@@ -0,0 +1,92 @@
+import {judgeAdmission, type Demand} from '../decide/admit.js';
+import {fitsEver} from '../decide/pack.js';
+import type {Clock} from '../ports/clock.js';
+import {results} from '../results.js';
+import type {Route} from '../settings/schema.js';
+import type {Dispatch} from './dispatch.js';
+import type {Feed} from './feed.js';
+import type {Answered, Submission} from './submission.js';
+import type {Meter} from './usage.js';
+
+/** Parts is what an admission asks. */
+export type Parts = {clock: Clock; feed: Feed; dispatch: Dispatch; meter: Meter};
+
+/** Admitted is what came of an admission: a refusal, or what is set aside until `release`. */
+export type Admitted
+	= | {kind: 'refused'; answered: Answered}
+		| {kind: 'reserved'; release(): void};
+
+/** Admission lets submissions in or refuses them before anything of them is run. */
+export class Admission {
+	static create(parts: Parts): Admission {
+		return new Admission(parts);
+	}
+
+	draining = false;
+
+	private constructor(private readonly parts: Parts) {}
+
+	/**
+	 * Judges a submission by the drain, its member's quota, the queue and its deadline. What is let in
+	 * is set aside at once, so that those who come while it is being claimed are judged with it in
+	 * mind; the caller releases that when the work is entered or will not be.
+	 */
+	admit(submission: Submission): Admitted {
+		const {dispatch, meter} = this.parts;
+		const demand = this.demandOf(submission);
+		const answered = this.judge(submission, demand);
+		if (answered) {
+			return {kind: 'refused', answered};
+		}
+
+		const quota = meter.reserve(submission.member, demand.tasks);
+		const queue = dispatch.reserve(submission.settings.pool, demand.tasks, demand.workMs);
+		return {
+			kind: 'reserved',
+			release() {
+				quota();
+				queue();
+			},
+		};
+	}
+
+	private judge(submission: Submission, demand: Demand): Answered | undefined {
+		if (this.draining) {
+			return {code: results.draining.code, retryMs: 0};
+		}
+
+		const {feed, meter, dispatch} = this.parts;
+		const {member, settings} = submission;
+		const quota = meter.quota(member, feed.config.tables.members.get(member)?.value, Math.max(1, feed.entries().length));
+		const admission = judgeAdmission(dispatch.load(settings.pool), demand, quota);
+		if (admission.kind === 'refuse') {
+			return {code: admission.code, retryMs: admission.retryMs};
+		}
+
+		return this.fitsPool(settings) ? undefined : {code: results.neverFits.code};
+	}
+
+	private demandOf({
+		route, settings, bodies, deadline,
+	}: Submission): Demand {
+		const {dispatch, clock} = this.parts;
+		const times = bodies.map(body => dispatch.estimate.taskMs(route, body.expectMs ?? settings.expectMs));
+		return {
+			tasks: bodies.length, workMs: sum(times), longestMs: Math.max(...times), leftMs: deadline - clock.mono(),
+		};
+	}
+
+	private fitsPool(settings: Route): boolean {
+		const workers = this.parts.dispatch.roster.serving(settings.pool).filter(seat => seat.report.kind === 'worker');
+		return workers.length === 0 || workers.some(seat => fitsEver(seat.report, settings));
+	}
+}
+
+function sum(values: readonly number[]): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -3,6 +3,7 @@
 import {CancelRequestSchema, type StartReply} from '../../gen/sniperidge/v1/peer_pb.js';
 import type {Load} from '../decide/admit.js';
 import type {Item} from '../decide/claim.js';
+import {handedEnd} from '../decide/handover.js';
 import {Estimate} from '../decide/estimate.js';
 import {
 	choose, chooseBaseline, isFree, type Candidate, type Choice, type Policy,
@@ -16,13 +17,12 @@
 import type {Peers} from '../ports/peer.js';
 import type {Random} from '../ports/random.js';
 import {results} from '../results.js';
-import type {HandedTask} from '../sidecar/gate.js';
 import {Exchange, type Counts, type Reply} from './exchange.js';
 import type {Feed} from './feed.js';
 import {
 	hinderedPauseMs, refusedPauseMs, type Roster, type Seat,
 } from './roster.js';
-import type {Run, TaskEnd} from './run.js';
+import {endOf, type Run} from './run.js';
 
 /** Parts is what a dispatcher is made of. */
 export type Parts = {clock: Clock; random: Random; peers: Peers; objects: ObjectStore; feed: Feed};
@@ -38,7 +38,8 @@
 	/** How many copies of the task are out, shared by a hedge and its first. */
 	flight: {out: number};
 };
-type Line = {queue: Queue<Task>; turn: number; workMs: number; running: number};
+/** A pool's queue, the work of what runs, and the tasks and work that were let in and are being claimed. */
+type Line = {queue: Queue<Task>; turn: number; workMs: number; running: number; reserved: number; reservedMs: number};
 
 /** How long a withdrawal may take, in milliseconds. */
 const cancelMs = 1000;
@@ -74,6 +75,11 @@
 		}, pumpMs);
 	}
 
+	/** How many times longer than ordinary a place takes. */
+	slowness(seat: Seat): number {
+		return this.estimate.slowness(seat.id);
+	}
+
 	/** Queues the tasks of a run that are not sent or ended, and follows them until the run ends. */
 	enter(run: Run, tasks: Iterable<number>): void {
 		const {work} = run;
@@ -106,7 +112,7 @@
 		const task: Task = {
 			member: run.work.member, deadline: run.work.deadline, costMs, run, index, attempt: 1, hedged: true, flight: {out: 1},
 		};
-		void this.exchange.send(task, {session, address, place: ''}).then(result => {
+		void this.exchange.send({...task, expectMs: 0}, {session, address, place: ''}).then(result => {
 			this.settle(task, undefined, result);
 		});
 	}
@@ -129,20 +135,31 @@
 		for (const seat of this.roster.serving(pool)) {
 			const own = seat.report.kind === 'worker' ? Math.max(1, seat.report.running) + Math.floor(Math.max(0, seat.report.freeCores)) : seat.report.slots;
 			slots += own;
-			rate += own / this.estimate.slowness(seat.id);
+			rate += own / this.slowness(seat);
 		}
 
 		const share = 1 / Math.max(1, this.parts.feed.entries().length);
 		return {
-			queued: line.queue.size,
+			queued: line.queue.size + line.reserved,
 			queueLimit: this.parts.feed.config.tables.pools.get(pool)?.value.queue ?? 0,
-			workMs: line.queue.costMs + (line.workMs / 2),
+			workMs: line.queue.costMs + line.reservedMs + (line.workMs / 2),
 			rate: rate * share,
 			slots: slots * share,
 			running: line.running,
 		};
 	}
 
+	/** Counts work that was let in and not entered yet as waiting for a pool; returns what takes it back. */
+	reserve(pool: string, tasks: number, workMs: number): () => void {
+		const line = this.line(pool);
+		line.reserved += tasks;
+		line.reservedMs += workMs;
+		return () => {
+			line.reserved -= tasks;
+			line.reservedMs -= workMs;
+		};
+	}
+
 	/** Tells the sidecars, with later starts, that what they hold for a claim may go. */
 	release(claim: string, sessions: Iterable<string>): void {
 		this.exchange.release(claim, sessions);
@@ -160,7 +177,7 @@
 		}
 
 		const line: Line = {
-			queue: Queue.create<Task>(), turn: 0, workMs: 0, running: 0,
+			queue: Queue.create<Task>(), turn: 0, workMs: 0, running: 0, reserved: 0, reservedMs: 0,
 		};
 		this.lines.set(pool, line);
 		return line;
@@ -178,7 +195,7 @@
 	private pumpLine(pool: string, line: Line): void {
 		for (let task = this.nextTask(line); task; task = this.nextTask(line)) {
 			const {settings} = task.run.work;
-			const candidates = this.roster.candidates(pool, settings, place => this.estimate.slowness(place));
+			const candidates = this.roster.candidates(pool, settings, seat => this.slowness(seat));
 			const found = this.findPlace(candidates, task, line);
 			if (!found) {
 				return;
@@ -274,7 +291,8 @@
 		line.workMs += task.costMs;
 		const hedge = this.armHedge(task, seat);
 		const target = {session: seat.session, address: seat.address, place: seat.id};
-		void this.exchange.send(task, target).then(result => {
+		const expectMs = this.estimate.usualMs(task.run.work.route, declaredMs(task.run, task.index));
+		void this.exchange.send({...task, expectMs}, target).then(result => {
 			clearTimeout(hedge);
 			task.run.back(task.index, seat.address);
 			line.running--;
@@ -295,7 +313,7 @@
 		}
 
 		if (handed) {
-			run.end(index, endOfHanded(handed));
+			run.end(index, endOf(handedEnd(handed)));
 			return;
 		}
 
@@ -366,7 +384,7 @@
 			return undefined;
 		}
 
-		const expected = task.costMs * this.estimate.slowness(seat.id);
+		const expected = task.costMs * this.slowness(seat);
 		return setTimeout(() => {
 			this.hedge(task, seat);
 		}, Math.max(hedgeLeastMs, expected * hedgeAfter));
@@ -376,7 +394,7 @@
 	private hedge(task: Task, first: Seat): void {
 		const {pool} = task.run.work.settings;
 		const now = this.parts.clock.mono();
-		const candidates = this.roster.candidates(pool, task.run.work.settings, place => this.estimate.slowness(place))
+		const candidates = this.roster.candidates(pool, task.run.work.settings, seat => this.slowness(seat))
 			.filter(candidate => candidate.id !== first.id && candidate.standing === 'open' && isFree(candidate, now));
 		const choice = choose(candidates, {taskMs: task.costMs, usualMs: task.costMs, zone: this.options.zone}, now, this.parts.random.next());
 		const budget = spend(this.budget);
@@ -409,23 +427,3 @@
 		body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place, ranMs: reply.ranMs,
 	};
 }
-
-function endOfHanded(handed: HandedTask): TaskEnd {
-	switch (handed.state) {
-		case 'done': {
-			return {
-				kind: 'done', item: {
-					body: handed.body, contentType: handed.contentType, place: handed.place, ranMs: handed.ranMs,
-				},
-			};
-		}
-
-		case 'failed': {
-			return {kind: 'failed', detail: handed.detail};
-		}
-
-		default: {
-			return {kind: 'unknown', detail: handed.detail};
-		}
-	}
-}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -2,7 +2,9 @@
 import {create} from '@bufbuild/protobuf';
 import type {FastifyInstance} from 'fastify';
 import type {Logger} from 'pino';
-import {Entry as EntryService, JoinRequestSchema, PushReplySchema} from '../../gen/sniperidge/v1/peer_pb.js';
+import {
+	Entry as EntryService, JoinRequestSchema, PrepareReplySchema, PrepareRequestSchema, PushReplySchema,
+} from '../../gen/sniperidge/v1/peer_pb.js';
 import {Batch} from '../adapters/batch.js';
 import {systemClock, unlimited} from '../adapters/clock.js';
 import {openPeers, servePeers, type Server} from '../adapters/peers.js';
@@ -10,7 +12,9 @@
 import {endSession, joinSession, readSession} from '../adapters/sessions.js';
 import {configOf, snapshotOf} from '../adapters/snapshot.js';
 import {openStore, type Store} from '../adapters/table.js';
+import {subsetSize} from '../decide/announce.js';
 import type {Session} from '../decide/claim.js';
+import {acksNeeded} from '../decide/confirm.js';
 import {rendezvous} from '../decide/rendezvous.js';
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
@@ -34,8 +38,10 @@
 /** How long another entry may be silent before its session is written as lost, in milliseconds. */
 const entryLostMs = 15_000;
 const pingMs = 1000;
-/** Other entries are asked for every so many ticks. */
-const pingTicks = 4;
+/** The entries that each looks after are asked for every so many ticks. */
+const pingTicks = 5;
+/** How many entries look after each. */
+const watchers = 2;
 /** How long a new entry waits for sidecars to announce themselves before it is ready without them, in milliseconds. */
 const gatherMs = 4000;
 /** How long before the end of its drain time a stopping entry ends what is under way, in milliseconds, so that it can be answered. */
@@ -117,7 +123,14 @@
 			clock, feed, jobs, meters: this.meters, maxBodyBytes: settings.maxBodyBytes, joined: () => this.joined, ready: () => this.ready,
 		});
 		this.admin = buildAdmin({
-			clock, random, table: store, feed, token: operatorToken, spread: async version => this.spread(version), status: () => this.status(),
+			clock,
+			random,
+			table: store,
+			feed,
+			token: operatorToken,
+			prepare: async withinMs => this.prepare(withinMs),
+			spread: async version => this.spread(version),
+			status: () => this.status(),
 		});
 	}
 
@@ -147,8 +160,7 @@
 			return false;
 		}
 
-		const sidecars = [...this.feed.sessions].filter(([, {value}]) => value.kind === 'sidecar' && !value.ended);
-		return this.clock.mono() - this.joinedAt > gatherMs || sidecars.every(([session]) => this.roster.attendances.has(session));
+		return this.clock.mono() - this.joinedAt > gatherMs || this.feed.sidecars().every(({key}) => this.roster.attendances.has(key) || !this.roster.mine(key));
 	}
 
 	/** Stops gracefully: takes nothing new, finishes what is under way, writes outcomes and usage, leaves. */
@@ -159,10 +171,9 @@
 
 	private async drain(): Promise<void> {
 		const {clock, jobs, settings, log} = this;
-		jobs.draining = true;
-		log.info({underWay: jobs.size}, 'draining');
 		const until = clock.mono() + settings.drainMs;
-		jobs.finishBy(until - Math.min(answerMs, settings.drainMs / 2));
+		jobs.drain(until - Math.min(answerMs, settings.drainMs / 2));
+		log.info({underWay: jobs.size}, 'draining');
 		await clock.sleep(lingerMs);
 		while (!jobs.idle && clock.mono() < until) {
 			await clock.sleep(20);
@@ -192,6 +203,10 @@
 					return this.roster.beat(request);
 				},
 				join: async request => this.jobs.join(request),
+				prepare: request => {
+					this.feed.prepare(request.withinMs);
+					return create(PrepareReplySchema, {session: this.session});
+				},
 				push: request => {
 					this.feed.take(configOf(request));
 					return create(PushReplySchema, {version: this.feed.config.version});
@@ -240,20 +255,34 @@
 		const {feed, roster} = this;
 		const lost = roster.sweep();
 		this.dispatch.estimate = this.dispatch.estimate.prune(place => roster.seats.has(place));
-		const others = feed.entries().filter(row => row.key !== this.session);
+		const watched = this.watched();
 		this.ticks++;
 		if (this.ticks % pingTicks === 0) {
-			await Promise.all(others.map(async row => this.ping(row)));
+			await Promise.all(watched.map(async row => this.ping(row)));
 		}
 
 		const now = this.clock.mono();
-		const silent = others.filter(row => now - (this.heard.get(row.key) ?? now) > entryLostMs).map(row => row.key);
+		const silent = watched.filter(row => now - (this.heard.get(row.key) ?? now) > entryLostMs).map(row => row.key);
 		if (feed.readable) {
 			await Promise.all([...lost, ...silent].map(async session => this.endLost(session)));
 			await this.sweepOrphans();
 		}
 	}
 
+	/** The entries that this one looks after: the next two round the ring of sessions, so that each is looked after by two. */
+	private watched(): Array<Row<Session>> {
+		const ring = this.feed.entries().toSorted((a, b) => a.key < b.key ? -1 : 1);
+		const at = ring.findIndex(row => row.key === this.session);
+		const next = [...ring.slice(at + 1), ...ring.slice(0, Math.max(0, at))].slice(0, watchers);
+		for (const session of this.heard.keys()) {
+			if (!next.some(row => row.key === session)) {
+				this.heard.delete(session);
+			}
+		}
+
+		return next;
+	}
+
 	private async ping(row: Row<Session>): Promise<void> {
 		this.dispatch.counts.pings++;
 		if (!this.heard.has(row.key)) {
@@ -297,6 +326,19 @@
 		}
 	}
 
+	/** Tells the other entries that a change is about to be written; resolves to whether enough of them know. */
+	private async prepare(withinMs: number): Promise<boolean> {
+		const {feed} = this;
+		feed.prepare(withinMs);
+		const entries = feed.entries();
+		const others = entries.filter(row => row.key !== this.session);
+		const needed = acksNeeded(entries.length, subsetSize) - 1;
+		return atLeast(needed, others.map(async row => {
+			const reply = await this.peers.entry(row.value.address).prepare(create(PrepareRequestSchema, {withinMs}), {timeoutMs: pingMs});
+			return reply.session === row.key;
+		}));
+	}
+
 	private async spread(version: number): Promise<InForce> {
 		const snapshot = snapshotOf(this.feed.config);
 		const others = this.feed.entries().filter(row => row.key !== this.session);
@@ -347,13 +389,31 @@
 				slots: seat.report.slots,
 				running: seat.report.running,
 				mine: seat.mine,
-				slowness: Number(dispatch.estimate.slowness(seat.id).toFixed(2)),
+				slowness: Number(dispatch.slowness(seat).toFixed(2)),
 				ejected: seat.health.until > now,
 			})),
 		};
 	}
 }
 
+/** Resolves to true as soon as so many resolve to true, and to false when that cannot be any more. */
+async function atLeast(needed: number, asked: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+	let told = 0;
+	return new Promise(resolve => {
+		const count = (ok: boolean) => {
+			told += ok ? 1 : 0;
+			if (told >= needed) {
+				resolve(true);
+			}
+		};
+
+		count(false);
+		void Promise.allSettled(asked.map(async one => one.then(count))).then(() => {
+			resolve(told >= needed);
+		});
+	});
+}
+
 function urlOf(app: FastifyInstance): string {
 	const {address, port} = app.server.address() as AddressInfo;
 	return `http://${address}:${port}`;
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -3,12 +3,12 @@
 import {StartRequestSchema, type StartReply, type StartRequest} from '../../gen/sniperidge/v1/peer_pb.js';
 import {neverLeft} from '../adapters/peers.js';
 import {handoverKey} from '../adapters/sessions.js';
+import type {HandedTask} from '../decide/handover.js';
 import type {Loss} from '../decide/retry.js';
 import type {Clock} from '../ports/clock.js';
 import type {ObjectStore} from '../ports/objects.js';
 import type {Peers} from '../ports/peer.js';
 import {results} from '../results.js';
-import type {HandedTask} from '../sidecar/gate.js';
 import type {Feed} from './feed.js';
 import type {Roster, Seat} from './roster.js';
 import type {Run} from './run.js';
@@ -16,8 +16,8 @@
 /** Counters of a dispatcher, for the metrics. */
 export type Counts = {sent: number; refused: number; askedAgain: number; placedAgain: number; hedges: number; hedgesLost: number; cancels: number; dropped: number; beats: number; pings: number};
 
-/** Outgoing is a task of a run on its way to a place, and which placement of it this is. */
-export type Outgoing = {run: Run; index: number; attempt: number};
+/** Outgoing is a task of a run on its way to a place, which placement of it this is, and how long it usually takes on an ordinary place, in milliseconds; 0 when that is not known. */
+export type Outgoing = {run: Run; index: number; attempt: number; expectMs: number};
 
 /** Target is where a task goes: a sidecar's session and the place there; no place to join what runs. */
 export type Target = Pick<Seat, 'session' | 'address'> & {place: string};
@@ -26,7 +26,7 @@
 export type Reply = {loss?: Loss; reply?: StartReply; detail: string; handed?: HandedTask};
 
 /** Parts is what an exchange is made of. */
-export type Parts = {clock: Clock; peers: Peers; objects: ObjectStore; feed: Feed; roster: () => Pick<Roster, 'gone' | 'silent' | 'echo'>};
+export type Parts = {clock: Clock; peers: Peers; objects: ObjectStore; feed: Feed; roster: () => Pick<Roster, 'gone' | 'silent' | 'echo' | 'doubt'>};
 
 /** How long the reply to a start may come after the deadline, and the pauses between copies, in milliseconds. */
 const graceMs = 1000;
@@ -34,6 +34,9 @@
 const againMostMs = 500;
 /** So many refused connections in a row mean that the sidecar's process is gone. */
 const deafLimit = 3;
+/** How long a sidecar that fails to answer is asked again, in milliseconds: for a task that may be repeated, and for any other. */
+const repeatableMs = 500;
+const hopelessMs = 6000;
 /** The most releases that one start carries. */
 const releasesAtOnce = 50;
 
@@ -66,6 +69,7 @@
 		const {run} = task;
 		const peer = this.parts.peers.sidecar(target.address);
 		let deaf = 0;
+		let failing: number | undefined;
 		for (let copies = 1, pause = againMs; ; copies++, pause = Math.min(pause * 2, againMostMs)) {
 			const left = run.work.deadline - this.parts.clock.mono();
 			this.counts[copies === 1 ? 'sent' : 'askedAgain']++;
@@ -74,6 +78,7 @@
 				return this.sort(task, reply, copies);
 			} catch (error) {
 				if (copies === 1 && neverLeft(error)) {
+					this.parts.roster().doubt(target.session);
 					return {loss: 'refused', detail: 'the sidecar does not listen'};
 				}
 
@@ -81,8 +86,14 @@
 					return {loss: 'unknown', detail: 'the run has ended'};
 				}
 
+				const now = this.parts.clock.mono();
+				failing ??= now;
 				deaf = neverLeft(error) ? deaf + 1 : 0;
-				if (deaf >= deafLimit || this.parts.roster().gone(target.session) || this.parts.roster().silent(target.session, run.work.repeatable)) {
+				if (copies > 1) {
+					this.parts.roster().doubt(target.session);
+				}
+
+				if (deaf >= deafLimit || this.hopeless(target.session, now - failing, run.work.repeatable)) {
 					return this.lookUp(task, target);
 				}
 			}
@@ -91,6 +102,12 @@
 		}
 	}
 
+	/** Whether a session that fails to answer for so long is asked no more; sooner for what may be repeated. */
+	private hopeless(session: string, failingMs: number, repeatable: boolean): boolean {
+		const roster = this.parts.roster();
+		return failingMs > (repeatable ? repeatableMs : hopelessMs) || roster.gone(session) || roster.silent(session);
+	}
+
 	private request(task: Outgoing, target: Target, left: number): StartRequest {
 		const {work} = task.run;
 		const body = work.bodies[task.index]!;
@@ -110,6 +127,7 @@
 			memoryMb: work.settings.memoryMb,
 			accelerators: work.settings.accelerators,
 			repeatable: work.repeatable,
+			expectMs: task.expectMs,
 			keyed: work.keyed,
 			echo: this.parts.roster().echo(target.session),
 			releases: this.releases.get(target.session)?.splice(0, releasesAtOnce),
--- a/src/entry/feed.ts
+++ b/src/entry/feed.ts
@@ -17,8 +17,12 @@
 	readonly sessions = new Map<string, Row<Session>>();
 	/** Whether the last read brought an answer. */
 	readable = false;
+	/** The reads in a row that brought no answer; the first may only mean that this process was stopped meanwhile. */
+	misses = 0;
 	/** The version of the newest change to the sessions. */
 	sessionsVersion = 0;
+	/** Monotonic milliseconds until which a change may be written that this entry was told of. */
+	private changingUntil = Number.NEGATIVE_INFINITY;
 	private readAt = Number.NEGATIVE_INFINITY;
 	private after = 0;
 	private reading: Promise<void> | undefined;
@@ -35,6 +39,16 @@
 		return moment - this.readAt;
 	}
 
+	/** Whether a change that this entry was told of may have been written since it last read the table. */
+	get pending(): boolean {
+		return this.readAt < this.changingUntil;
+	}
+
+	/** Notes that a change may be written within so many milliseconds from now. */
+	prepare(withinMs: number): void {
+		this.changingUntil = Math.max(this.changingUntil, this.clock.mono() + withinMs);
+	}
+
 	/** Reads again and again until `signal` aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
@@ -64,9 +78,14 @@
 		return this.live('entry');
 	}
 
+	/** The sidecars whose sessions have not ended. */
+	sidecars(): Array<Row<Session>> {
+		return this.live('sidecar');
+	}
+
 	/** The live sidecar sessions of a zone. */
 	neighbours(zone: string): string[] {
-		return this.live('sidecar').filter(row => row.value.zone === zone).map(row => row.key);
+		return this.sidecars().filter(row => row.value.zone === zone).map(row => row.key);
 	}
 
 	private live(kind: Session['kind']): Array<Row<Session>> {
@@ -80,9 +99,11 @@
 			this.after = listing.version;
 			this.readAt = at;
 			this.readable = true;
+			this.misses = 0;
 			this.takeRows(listing.rows);
 		} catch {
 			this.readable = false;
+			this.misses++;
 		}
 	}
 
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -7,13 +7,14 @@
 import {Failure, resultOf, results} from '../results.js';
 import {name, type Route} from '../settings/schema.js';
 import type {Feed} from './feed.js';
-import type {Answered, Jobs, Submission} from './jobs.js';
+import type {Jobs} from './jobs.js';
 import type {Meters} from './metrics.js';
 import {callerDocument} from './openapi.js';
 import {
 	parseBody, sendError, sendOutcome, stamp,
 } from './problem.js';
 import type {Body} from './run.js';
+import type {Answered, Submission} from './submission.js';
 
 /** The most tasks that a job may have. */
 export const taskLimit = 270;
--- a/src/entry/roster.ts
+++ b/src/entry/roster.ts
@@ -2,12 +2,13 @@
 import {
 	BeatReplySchema, EchoSchema, type BeatReply, type BeatRequest, type Echo, type Place, type StartReply,
 } from '../../gen/sniperidge/v1/peer_pb.js';
+import {subset} from '../decide/announce.js';
 import {snapshotOf} from '../adapters/snapshot.js';
 import {
 	healthy, observe, probe, standingOf, type Health,
 } from '../decide/eject.js';
 import {
-	lostMs, stageOf, type Presence, type Stage,
+	lostMs, missedMs, stageOf, type Presence, type Stage,
 } from '../decide/member.js';
 import type {Candidate} from '../decide/place.js';
 import type {Clock} from '../ports/clock.js';
@@ -53,6 +54,8 @@
 /** Parts is what a roster is made of; `changed` is told the pools whose places may have changed. */
 export type Parts = {clock: Clock; feed: Feed; session: string; address: () => string; changed: (pools: Iterable<string>) => void};
 
+type Duties = {version: number; entries: readonly string[]; known: Map<string, boolean>};
+
 /** Roster is the sidecars that announce themselves to this entry, and their places. */
 export class Roster {
 	static create(parts: Parts): Roster {
@@ -62,6 +65,12 @@
 	readonly seats = new Map<string, Seat>();
 	readonly attendances = new Map<string, Attendance>();
 	private readonly started: number;
+	/** The sessions that should be heard here and are not, and since when. */
+	private missed: ReadonlyMap<string, number> = new Map();
+	/** Which sessions announce themselves here, as worked out from one version of the sessions. */
+	private duties: Duties = {
+		version: -1, entries: [], known: new Map(),
+	};
 
 	private constructor(private readonly parts: Parts) {
 		this.started = parts.clock.mono();
@@ -80,6 +89,7 @@
 			stamp: request.stamp,
 			ageMs: feed.ageMs,
 			readable: feed.readable,
+			pending: feed.pending,
 			version: feed.config.version,
 			snapshot: request.version < feed.config.version ? snapshotOf(feed.config) : undefined,
 			ended,
@@ -89,7 +99,7 @@
 	}
 
 	/** Lists the places of a pool that may get a task of this size, as candidates for the choice. */
-	candidates(pool: string, size: TaskSize, slowness: (place: string) => number): Candidate[] {
+	candidates(pool: string, size: TaskSize, slowness: (seat: Seat) => number): Candidate[] {
 		const now = this.parts.clock.mono();
 		const {config} = this.parts.feed;
 		const candidates: Candidate[] = [];
@@ -105,7 +115,7 @@
 				slots: seat.report.kind === 'worker' ? running + roomFor(seat, size) : seat.report.slots,
 				running,
 				reserved: 0,
-				slowness: slowness(seat.id),
+				slowness: slowness(seat),
 				standing: standingOf(seat.health, now),
 				returned: seat.returned,
 				notBefore: seat.notBefore,
@@ -156,11 +166,21 @@
 			stamp: attendance.stamp,
 			ageMs: feed.ageAt(attendance.heard),
 			readable: feed.readable,
+			pending: feed.pending,
 			version: feed.config.version,
 			sessionsVersion: feed.sessionsVersion,
 		});
 	}
 
+	/** Notes that a session failed to answer, so that nothing new goes there for a while. */
+	doubt(session: string): void {
+		const attendance = this.attendances.get(session);
+		if (attendance) {
+			attendance.doubted = this.parts.clock.mono();
+			attendance.stage = stageOf(attendance, attendance.doubted);
+		}
+	}
+
 	/** Notes whether a place did its work. */
 	judge(seat: Seat, ok: boolean): void {
 		const pool = seat.report.pools[0] ?? '';
@@ -174,17 +194,23 @@
 		return this.parts.feed.sessions.get(session)?.value.ended !== undefined;
 	}
 
-	/** Whether a sidecar has been silent for so long that nothing is expected of it; sooner for what may be repeated. */
-	silent(session: string, repeatable: boolean): boolean {
+	/** Whether a sidecar has been silent for so long that nothing is expected of it. */
+	silent(session: string): boolean {
 		const attendance = this.attendances.get(session);
-		const stage = attendance ? stageOf(attendance, this.parts.clock.mono()) : 'gone';
-		return stage === 'gone' || (repeatable && stage === 'suspect');
+		return !attendance || stageOf(attendance, this.parts.clock.mono()) === 'gone';
+	}
+
+	/** Whether a sidecar session announces itself to this entry, by the choice that it makes too. */
+	mine(session: string): boolean {
+		const {entries, known} = this.duty;
+		const mine = known.get(session) ?? subset(session, entries).includes(this.parts.address());
+		known.set(session, mine);
+		return mine;
 	}
 
 	/** Moves sidecars from live to suspected to gone, and returns the sessions silent for so long that they count as lost. */
 	sweep(): string[] {
 		const now = this.parts.clock.mono();
-		const lost: string[] = [];
 		for (const [session, attendance] of this.attendances) {
 			attendance.stage = stageOf(attendance, now);
 			if (this.gone(session)) {
@@ -194,14 +220,7 @@
 			}
 		}
 
-		for (const [session, {value}] of this.parts.feed.sessions) {
-			const heard = this.attendances.get(session)?.heard ?? this.started;
-			if (value.kind === 'sidecar' && !value.ended && now - heard > lostMs) {
-				lost.push(session);
-			}
-		}
-
-		return lost;
+		return this.lost(now);
 	}
 
 	/** How many sidecars have this configuration in force, of how many. */
@@ -210,9 +229,30 @@
 		return {inForce: live.filter(attendance => attendance.version >= version).length, known: live.length};
 	}
 
+	/** Silence counts from when it was noticed that a session should be heard here and is not. */
+	private lost(now: number): string[] {
+		const {feed} = this.parts;
+		const silent = feed.sidecars().map(row => row.key).filter(session => now - (this.attendances.get(session)?.heard ?? Number.NEGATIVE_INFINITY) > missedMs && this.mine(session));
+		const missed = new Map(silent.map(session => [session, this.missed.get(session) ?? now]));
+		this.missed = missed;
+		return silent.filter(session => now - missed.get(session)! > lostMs);
+	}
+
+	/** What follows from the sessions, worked out anew when they change. */
+	private get duty(): Duties {
+		const {feed} = this.parts;
+		if (this.duties.version !== feed.sessionsVersion) {
+			this.duties = {
+				version: feed.sessionsVersion, entries: feed.entries().map(row => row.value.address), known: new Map(),
+			};
+		}
+
+		return this.duties;
+	}
+
 	private serves(seat: Seat): boolean {
 		const attendance = this.attendances.get(seat.session);
-		return attendance?.stage === 'live' && !attendance.draining;
+		return attendance !== undefined && !attendance.draining && stageOf(attendance, this.parts.clock.mono()) === 'live';
 	}
 
 	private attend(request: BeatRequest): void {
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -109,8 +109,8 @@
 
 	/** Takes tasks that ended before this run began, from a takeover. */
 	recover(tasks: readonly EndedTask[]): void {
-		for (const {task, code, detail, item} of tasks) {
-			this.end(task, item && code === results.complete.code ? {kind: 'done', item} : endOf(code, detail));
+		for (const ended of tasks) {
+			this.end(ended.task, endOf(ended));
 		}
 	}
 
@@ -202,6 +202,11 @@
 	}
 }
 
-function endOf(code: number, detail: string): TaskEnd {
+/** Returns how a task that a sidecar told of ended; without its answer it is unknown. */
+export function endOf({code, detail, item}: EndedTask): TaskEnd {
+	if (item && code === results.complete.code) {
+		return {kind: 'done', item};
+	}
+
 	return code === results.taskFailed.code ? {kind: 'failed', detail} : {kind: 'unknown', detail};
 }
--- a/src/entry/takeover.ts
+++ b/src/entry/takeover.ts
@@ -7,11 +7,10 @@
 import {
 	couldHold, recover, type Claim, type EndedTask, type Recovery, type Report, type Session,
 } from '../decide/claim.js';
+import {handedEnd, type HandedTask} from '../decide/handover.js';
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
 import type {Row} from '../ports/table.js';
-import {results} from '../results.js';
-import type {HandedTask} from '../sidecar/gate.js';
 
 /** How long a session is asked at a takeover before it counts as unheard, and the pause between, in milliseconds. */
 const askMs = 2000;
@@ -90,8 +89,6 @@
 
 	const handed = (JSON.parse(Buffer.from(object).toString()) as HandedTask[]).filter(task => task.claim === key);
 	return {
-		kind: 'heard', session, running: [], ended: handed.map(task => ({
-			task: task.task, code: task.code, detail: task.detail, item: task.code === results.complete.code ? task : undefined,
-		})),
+		kind: 'heard', session, running: [], ended: handed.map(task => handedEnd(task)),
 	};
 }
--- a/src/entry/usage.ts
+++ b/src/entry/usage.ts
@@ -34,6 +34,16 @@
 		};
 	}
 
+	/** Counts tasks that were let in and not entered yet; returns what takes them back. */
+	reserve(name: string, tasks: number): () => void {
+		this.enter(name, tasks);
+		return () => {
+			const use = this.use(name);
+			use.running -= tasks;
+			use.started = Math.max(0, use.started - tasks);
+		};
+	}
+
 	/** Notes that a member's tasks were let in. */
 	enter(name: string, tasks: number): void {
 		const use = this.use(name);
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -7,6 +7,8 @@
 	CollectRequest,
 	JoinReply,
 	JoinRequest,
+	PrepareReply,
+	PrepareRequest,
 	PushReply,
 	Snapshot,
 	StartReply,
@@ -20,6 +22,7 @@
 export type EntryPeer = {
 	beat(request: BeatRequest, call: Call): Promise<BeatReply>;
 	join(request: JoinRequest, call: Call): Promise<JoinReply>;
+	prepare(request: PrepareRequest, call: Call): Promise<PrepareReply>;
 	push(request: Snapshot, call: Call): Promise<PushReply>;
 };
 
--- a/src/results.ts
+++ b/src/results.ts
@@ -153,6 +153,9 @@
 	rowInUse: {
 		code: 307, kind: 'operator', status: 409, resubmit: 'after-change', text: 'Another row refers to this one.',
 	},
+	entriesUnheard: {
+		code: 308, kind: 'operator', status: 503, resubmit: 'same-key', text: 'Too few of the other entries could be told of the change; nothing was changed.',
+	},
 } as const satisfies Record<string, Omit<Result, 'name'>>;
 
 /** ResultName names a result. */
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -3,20 +3,23 @@
 	BeatRequestSchema, type BeatReply, type Echo, type Place,
 } from '../../gen/sniperidge/v1/peer_pb.js';
 import {configOf} from '../adapters/snapshot.js';
+import {due, subset, type Need} from '../decide/announce.js';
 import {isConfirmed, type Confirmation} from '../decide/confirm.js';
 import {Config} from '../decide/config.js';
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
 
-/** A sidecar announces itself to an entry that has not been heard for so long, in milliseconds. */
-const beatMs = 2500;
-/** It announces itself to each entry when the newest confirmation is older than this, in milliseconds. */
-const freshMs = 1200;
-/** How often it looks whether to, and how long the reply may take, in milliseconds. */
+/** How often it is looked whom to speak to, and how long the reply may take, in milliseconds. */
 const lookMs = 500;
 const replyMs = 2500;
 /** Silence of every entry after which others are looked for, in milliseconds. */
-const aloneMs = 2500;
+const aloneMs = 4600;
+/** How long after an entry said that it cannot read the table fresh confirmations are kept up, in milliseconds. */
+const outageMs = 5000;
+/** The oldest stamp that may be echoed, in milliseconds: over longer times clocks drift apart. */
+const stampMs = 60_000;
+/** The age from which a confirmation is renewed while tasks wait, in milliseconds. */
+const freshMs = 1200;
 
 /** Announcement is what a sidecar says of itself. */
 export type Announcement = {session: string; address: string; zone: string; draining: boolean; places: Place[]};
@@ -29,12 +32,23 @@
 	ended(session: string): void;
 };
 
-/** Parts is what beats are made of; `entries` are the addresses to begin with, and `find` looks the present ones up in the table. */
-export type Parts = {peers: Peers; clock: Clock; entries: readonly string[]; announce: () => Announcement; listener: Listener; find: () => Promise<string[]>};
+/** Parts is what beats are made of. */
+export type Parts = {
+	peers: Peers;
+	clock: Clock;
+	/** The addresses to begin with. */
+	entries: readonly string[];
+	listener: Listener;
+	announce(): Announcement;
+	/** Looks the present entries up in the table. */
+	find(): Promise<string[]>;
+	/** Whether tasks wait here for their turn, which will need a fresh confirmation. */
+	waiting(): boolean;
+};
 
 /**
- * Beats announces a sidecar to every entry and keeps what they confirm. Starts that come with a
- * confirmation stand in for beats.
+ * Beats announces a sidecar to its subset of the entries and keeps what they confirm. Starts that
+ * come with a confirmation stand in for beats.
  *
  * A confirmation counts from when the request for it was sent, on this process's own clock, so that
  * one that lay in a buffer while the process was stopped counts for nothing.
@@ -47,50 +61,69 @@
 	config = Config.empty;
 	neighbours: readonly string[] = [];
 	private readonly confirmations = new Map<string, Confirmation>();
-	private readonly loops = new Map<string, AbortController>();
-	private known: ReadonlySet<string>;
+	/** When each entry last learned of this sidecar: the send time of what it answered or echoed. */
+	private readonly spoken = new Map<string, number>();
+	private readonly tried = new Map<string, number>();
+	/** The entries that there are, and those of them that this sidecar announces itself to. */
+	private known: readonly string[];
+	private following: readonly string[];
+	private running = new AbortController();
+	private outageUntil = Number.NEGATIVE_INFINITY;
 	private fetching = 0;
 	private sessionsVersion = 0;
 
 	private constructor(private readonly parts: Parts) {
-		this.known = new Set(parts.entries);
+		this.known = parts.entries;
+		this.following = parts.entries;
 	}
 
 	/** Begins to announce. */
 	start(): void {
+		this.running = new AbortController();
+		this.tried.clear();
 		this.follow(this.known);
+		void this.loop(this.running.signal);
 	}
 
 	/** Looks the entries up in the table when none of those known has answered for a while. */
 	async rediscover(): Promise<void> {
-		const now = this.parts.clock.mono();
-		const heard = [...this.confirmations.values()].some(confirmation => now - confirmation.heard < aloneMs);
-		if (heard) {
+		if (this.heard) {
 			return;
 		}
 
 		try {
 			const found = await this.parts.find();
-			this.follow(new Set([...found, ...this.known, ...this.parts.entries]));
+			this.follow(found.length > 0 ? found : this.parts.entries);
 		} catch {
 			// The table is away too; the known entries go on being tried.
 		}
 	}
 
+	/** Whether any entry was heard lately. */
+	get heard(): boolean {
+		const now = this.parts.clock.mono();
+		return [...this.spoken.values()].some(spoken => now - spoken < aloneMs);
+	}
+
 	/** Whether a task may start now under the configuration that is in force here. */
 	confirmed(): boolean {
-		return isConfirmed(this.confirmations, this.known.size, this.config.version, this.parts.clock.mono());
+		return isConfirmed(this.confirmations, this.following.length, this.config.version, this.parts.clock.mono());
 	}
 
-	/** Takes the confirmation that came with a start; a newer version, of the tables or of the sessions, is fetched at once. */
+	/**
+	 * Takes the confirmation that came with a start; a newer version, of the tables or of the sessions,
+	 * is fetched at once. One dated in the future comes from clocks that do not run alike, as after a
+	 * machine was suspended, and counts for nothing.
+	 */
 	take(echo: Echo): void {
-		const known = this.confirmations.get(echo.entry);
-		if (!this.loops.has(echo.entry) || echo.stamp < (known?.heard ?? 0)) {
+		const now = this.parts.clock.mono();
+		const asOf = echo.stamp - echo.ageMs;
+		if (!this.following.includes(echo.entry) || asOf > now || now - echo.stamp > stampMs) {
 			return;
 		}
 
-		this.confirmations.set(echo.entry, {
-			asOf: echo.stamp - echo.ageMs, heard: echo.stamp, readable: echo.readable, version: echo.version,
+		this.confirm(echo.entry, {
+			asOf, heard: echo.stamp, readable: echo.readable, pending: echo.pending, version: echo.version,
 		});
 		const newest = Math.max(echo.version > this.config.version ? echo.version : 0, echo.sessionsVersion > this.sessionsVersion ? echo.sessionsVersion : 0);
 		if (newest > this.fetching) {
@@ -107,51 +140,51 @@
 
 	/** Announces once more to every entry, now, and waits for the replies. */
 	async flush(): Promise<void> {
-		await Promise.all([...this.loops.keys()].map(async entry => this.beat(entry)));
+		await Promise.all(this.following.map(async entry => this.beat(entry)));
 	}
 
 	/** Stops announcing. */
 	stop(): void {
-		for (const loop of this.loops.values()) {
-			loop.abort();
-		}
-
-		this.loops.clear();
+		this.running.abort();
 	}
 
-	private follow(entries: ReadonlySet<string>): void {
-		for (const [entry, loop] of this.loops) {
-			if (!entries.has(entry)) {
-				loop.abort();
-				this.loops.delete(entry);
+	private follow(entries: readonly string[]): void {
+		const {session} = this.parts.announce();
+		this.known = entries;
+		this.following = subset(session, entries);
+		for (const entry of this.confirmations.keys()) {
+			if (!this.following.includes(entry)) {
 				this.confirmations.delete(entry);
-			}
-		}
-
-		for (const entry of entries) {
-			if (!this.loops.has(entry)) {
-				const loop = new AbortController();
-				this.loops.set(entry, loop);
-				void this.loop(entry, loop.signal);
+				this.spoken.delete(entry);
+				this.tried.delete(entry);
 			}
 		}
 	}
 
-	private async loop(entry: string, signal: AbortSignal): Promise<void> {
+	private async loop(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const now = this.parts.clock.mono();
-			const due = now + lookMs;
-			const silence = now - (this.confirmations.get(entry)?.heard ?? Number.NEGATIVE_INFINITY);
-			if (silence > beatMs || (silence > freshMs && this.ageMs > freshMs)) {
-				await this.beat(entry);
+			const hearings = this.following.map(entry => ({
+				entry,
+				heard: this.spoken.get(entry) ?? Number.NEGATIVE_INFINITY,
+				tried: this.tried.get(entry) ?? Number.NEGATIVE_INFINITY,
+			}));
+			for (const entry of due(hearings, this.need(now), now)) {
+				void this.beat(entry);
 			}
 
-			await this.parts.clock.sleep(Math.max(100, due - this.parts.clock.mono()), signal);
+			await this.parts.clock.sleep(lookMs, signal);
 		}
 	}
 
+	private need(now: number): Need {
+		const needed = now < this.outageUntil || this.parts.waiting();
+		return needed && this.ageMs > freshMs ? 'fresh' : 'presence';
+	}
+
 	private async beat(entry: string): Promise<void> {
 		const stamp = this.parts.clock.mono();
+		this.tried.set(entry, stamp);
 		const request = create(BeatRequestSchema, {
 			...this.parts.announce(), stamp, version: this.config.version, sessionsVersion: this.sessionsVersion,
 		});
@@ -163,29 +196,41 @@
 	}
 
 	private hear(entry: string, session: string, reply: BeatReply): void {
-		if (reply.snapshot && reply.snapshot.version > this.config.version) {
-			this.config = configOf(reply.snapshot);
-			this.parts.listener.configured(this.config);
-			void this.beat(entry);
-		}
-
 		if (reply.ended) {
 			this.parts.listener.ended(session);
 			return;
 		}
 
-		if (!this.loops.has(entry)) {
+		if (!this.following.includes(entry)) {
 			return;
 		}
 
-		this.confirmations.set(entry, {
-			asOf: reply.stamp - reply.ageMs, heard: reply.stamp, readable: reply.readable, version: reply.version,
+		this.confirm(entry, {
+			asOf: reply.stamp - reply.ageMs, heard: reply.stamp, readable: reply.readable, pending: reply.pending, version: reply.version,
 		});
 		if (reply.entries.length > 0 && reply.readable && reply.sessionsVersion > this.sessionsVersion) {
 			this.sessionsVersion = reply.sessionsVersion;
 			this.neighbours = reply.neighbours;
-			this.known = new Set(reply.entries);
-			this.follow(new Set([...this.known, ...this.parts.entries]));
+			this.follow(reply.entries);
+		}
+
+		if (reply.snapshot && reply.snapshot.version > this.config.version) {
+			this.config = configOf(reply.snapshot);
+			this.parts.listener.configured(this.config);
+			void this.flush();
+		}
+	}
+
+	/** Each confirmation holds by itself, whatever came before or after it; the most recent one is kept. */
+	private confirm(entry: string, confirmation: Confirmation): void {
+		const known = this.confirmations.get(entry);
+		this.spoken.set(entry, Math.max(confirmation.heard, this.spoken.get(entry) ?? 0));
+		if (!known || confirmation.asOf > known.asOf || confirmation.heard >= known.heard) {
+			this.confirmations.set(entry, confirmation);
+		}
+
+		if (!confirmation.readable) {
+			this.outageUntil = this.parts.clock.mono() + outageMs;
 		}
 	}
 }
--- a/src/sidecar/gate.ts
+++ b/src/sidecar/gate.ts
@@ -3,6 +3,7 @@
 import {
 	CancelReplySchema,
 	CollectReplySchema,
+	PaceSchema,
 	StartReplySchema,
 	type CancelReply,
 	type CancelRequest,
@@ -11,11 +12,14 @@
 	type Echo,
 	type StartReply,
 	type StartRequest,
+	type Place as PlaceReport,
 } from '../../gen/sniperidge/v1/peer_pb.js';
 import {
 	freshRecord, hindrance, judgeStart, raiseEpoch, setTask, type ClaimRecord, type Conditions,
 } from '../decide/gate.js';
 import type {Config} from '../decide/config.js';
+import {learnPace, type Pace} from '../decide/estimate.js';
+import type {HandedTask} from '../decide/handover.js';
 import {deferred} from '../deferred.js';
 import type {Clock} from '../ports/clock.js';
 import type {Answer, Run} from '../ports/upstream.js';
@@ -34,9 +38,6 @@
 /** Counts are a gate's counters, for the metrics. */
 export type Counts = {started: number; done: number; failed: number; unknown: number; refused: Record<number, number>; repeated: number};
 
-/** HandedTask is one started task in a sidecar's handover, as entries read it. */
-export type HandedTask = {claim: string; task: number; state: string; code: number; detail: string; body: string; contentType: string; ranMs: number; place: string};
-
 type Live = {
 	request: StartRequest;
 	place: Place;
@@ -79,6 +80,7 @@
 
 	private readonly claims = new Map<string, Held>();
 	private readonly queues = new Map<string, Live[]>();
+	private readonly paces = new Map<string, Pace>();
 	private heldBytes = 0;
 	private session: string;
 
@@ -203,6 +205,11 @@
 		return this.queues.get(place)?.length ?? 0;
 	}
 
+	/** Whether any task waits for its turn. */
+	get waiting(): boolean {
+		return [...this.queues.values()].some(queue => queue.length > 0);
+	}
+
 	/** Whether nothing runs and every answer has been fetched. */
 	get idle(): boolean {
 		return [...this.claims.values()].every(held => [...held.live.values()].every(live => live.ended && live.fetched));
@@ -220,6 +227,15 @@
 		this.session = session;
 	}
 
+	/** Describes a place as it stands, with what waits for it and how fast it was found to be. */
+	describe(place: Place): PlaceReport {
+		const report = place.describe();
+		report.queued = this.queuedAt(place.name);
+		const pace = this.paces.get(place.name);
+		report.pace = pace && create(PaceSchema, pace);
+		return report;
+	}
+
 	private conditions(place: Place, request: StartRequest): Conditions {
 		const config = this.around.config();
 		return {
@@ -287,6 +303,10 @@
 		const {request} = live;
 		held.record = setTask(held.record, request.task, {kind: 'ended', attempt: request.attempt}, request.epoch);
 		this.counts[answer.kind]++;
+		if (answer.kind === 'done') {
+			this.learn(live);
+		}
+
 		live.ended = create(StartReplySchema, {
 			claim: request.claim,
 			task: request.task,
@@ -303,6 +323,13 @@
 		this.trim();
 	}
 
+	private learn({request, place, startedAt}: Live): void {
+		if (request.expectMs > 0) {
+			const ranMs = Math.max(1, this.clock.mono() - startedAt);
+			this.paces.set(place.name, learnPace(this.paces.get(place.name), Math.log(ranMs / request.expectMs)));
+		}
+	}
+
 	private wait(held: Held, live: Live): void {
 		const {request, place} = live;
 		held.record = setTask(held.record, request.task, {kind: 'queued', attempt: request.attempt}, request.epoch);
@@ -383,12 +410,6 @@
 		return reply;
 	}
 
-	private describe(place: Place) {
-		const report = place.describe();
-		report.queued = this.queuedAt(place.name);
-		return report;
-	}
-
 	private release(claim: string): void {
 		const held = this.claims.get(claim);
 		if (held && [...held.live.values()].every(live => live.ended)) {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -50,7 +50,13 @@
 	private constructor(private readonly settings: SidecarSettings, private readonly log: Logger, private readonly clock: Clock) {
 		this.store = openStore(settings.store);
 		this.beats = Beats.create({
-			peers: this.peers, clock, entries: settings.entries, announce: () => this.announce(), find: async () => findEntries(this.store), listener: {
+			peers: this.peers,
+			clock,
+			entries: settings.entries,
+			announce: () => this.announce(),
+			find: async () => findEntries(this.store),
+			waiting: () => this.gate.waiting,
+			listener: {
 				configured: config => {
 					this.gate.review();
 					log.info({version: config.version}, 'configuration in force');
@@ -91,9 +97,9 @@
 		return this.local.url;
 	}
 
-	/** Whether it has joined and its configuration is confirmed. */
+	/** Whether it has joined and is in touch with an entry. */
 	get ready(): boolean {
-		return this.joined && !this.gate.draining && this.beats.confirmed();
+		return this.joined && !this.gate.draining && this.beats.heard;
 	}
 
 	/** Stops gracefully: gives back what waits, finishes what runs, hands over what it started, leaves. */
@@ -246,11 +252,7 @@
 	}
 
 	private announce() {
-		const places = this.places().map(place => {
-			const report = place.describe();
-			report.queued = this.gate.queuedAt(place.name);
-			return report;
-		});
+		const places = this.places().map(place => this.gate.describe(place));
 		return {
 			session: this.session, address: this.address, zone: this.settings.zone, draining: this.gate.draining, places,
 		};
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -24,6 +24,7 @@
 	/** The zone of each worker. */
 	workers?: readonly string[];
 	slowness?: readonly number[];
+	workerSlowness?: readonly number[];
 	slots?: number;
 	claimWindowMs?: number;
 	drainMs?: number;
@@ -31,6 +32,8 @@
 	/** The zones of the entries, by turns. */
 	entryZones?: readonly string[];
 	hedge?: boolean;
+	/** The pools that every upstream serves. */
+	pools?: readonly string[];
 	/** What the tables hold beside those that every cluster has. */
 	rows?: ReadonlyArray<[string, unknown]>;
 	/** Added each way between entries and sidecars, in milliseconds. */
@@ -44,6 +47,8 @@
 	zone: string;
 	child: ChildProcess;
 	proxy: Proxy;
+	/** What it reaches the platform by. */
+	store: Proxy;
 	/** Where it listens: `callers` and `operators` for an entry, `local` for a sidecar. */
 	urls: Record<string, string>;
 	exit: Promise<number | undefined>;
@@ -70,7 +75,7 @@
 export class Cluster {
 	static async create(shape: Shape): Promise<Cluster> {
 		const platform = await Platform.create(platformSettings.parse({log: 'silent'}));
-		const cluster = new Cluster(shape, platform, await Proxy.create(platform.url.slice('http://'.length)));
+		const cluster = new Cluster(shape, platform);
 		platform.write([{checks: [], changes: tables(shape)}]);
 		await Promise.all(Array.from({length: shape.entries}, async (_, index) => cluster.startEntry(index)));
 		await Promise.all(shape.sidecars.map(async (_, index) => cluster.startSidecar(index)));
@@ -92,7 +97,7 @@
 	private readonly folder = mkdtempSync(join(tmpdir(), 'sniperidge-'));
 	private readonly nodes: Node[] = [];
 
-	private constructor(readonly shape: Shape, readonly platform: Platform, readonly storeProxy: Proxy) {}
+	private constructor(readonly shape: Shape, readonly platform: Platform) {}
 
 	/** Every start that any back end recorded. */
 	get starts(): Array<Start & {zone: string; place: string}> {
@@ -124,7 +129,7 @@
 			drainMs: this.shape.drainMs ?? 20_000,
 			entries: this.entries.map(entry => entry.proxy.address),
 			upstreams: [{
-				name, url: this.upstreams[index].url, pools: ['main'], slots: this.shape.slots ?? 8,
+				name, url: this.upstreams[index].url, pools: [...this.shape.pools ?? ['main']], slots: this.shape.slots ?? 8,
 			}],
 		});
 		node.proxy.delayMs = this.shape.delayMs ?? 0;
@@ -236,17 +241,16 @@
 		}
 
 		await Promise.all(this.nodes.map(async node => node.exit));
-		await Promise.all(this.nodes.map(async node => node.proxy.close()));
+		await Promise.all(this.nodes.flatMap(node => [node.proxy, node.store]).map(async proxy => proxy.close()));
 		await this.agent.destroy();
 		await Promise.all([...this.upstreams, ...this.workers].map(async backend => backend.close()));
-		await this.storeProxy.close();
 		await this.platform.close();
 		rmSync(this.folder, {recursive: true, force: true});
 	}
 
 	private async startWorker(index: number, zone: string): Promise<SampleWorker> {
 		const worker = await SampleWorker.create({
-			name: `worker-${index}`, zone, slowness: 1, pools: ['heavy'], size: {cores: 8, memoryMb: 8192, accelerators: 0}, lagMs: 400,
+			name: `worker-${index}`, zone, slowness: this.shape.workerSlowness?.[index] ?? 1, pools: ['heavy'], size: {cores: 8, memoryMb: 8192, accelerators: 0}, lagMs: 400,
 		});
 		worker.announce(() => this.sidecars.filter(node => node.zone === zone && node.fate === 'alive').map(node => node.urls.local!));
 		return worker;
@@ -254,10 +258,11 @@
 
 	private async start(kind: Node['kind'], name: string, proxy: Proxy, particular: Record<string, unknown>): Promise<Node> {
 		const file = join(this.folder, `${name}-${this.nodes.length}.json`);
+		const store = await Proxy.create(this.platform.url.slice('http://'.length));
 		const settings = {
 			name,
 			advertise: proxy.address,
-			store: {url: `http://${this.storeProxy.address}`, timeoutMs: 1500},
+			store: {url: `http://${store.address}`, timeoutMs: 1500},
 			log: process.env.CLUSTER_LOG ?? 'silent',
 			claimWindowMs: this.shape.claimWindowMs ?? 600_000,
 			...particular,
@@ -280,7 +285,7 @@
 		});
 		proxy.target = urls.peers!;
 		const node: Node = {
-			name, kind, zone: String(particular.zone), child, proxy, urls, exit, ready: kind === 'sidecar', fate: 'alive',
+			name, kind, zone: String(particular.zone), child, proxy, store, urls, exit, ready: kind === 'sidecar', fate: 'alive',
 		};
 		this.nodes.push(node);
 		return node;
@@ -310,9 +315,9 @@
 		['routes/render', {
 			pool: 'heavy', repeatable: false, expectMs: 60, cores: 1, memoryMb: 1024,
 		}],
-		...shape.rows ?? [],
 		...[...new Set([...shape.sidecars, ...shape.workers ?? []])].map((zone): [string, unknown] => [`availability-zones/${zone}`, {state: 'in'}]),
 		...Object.entries(members).map(([member, token]): [string, unknown] => [`members/${member}`, {tokenHash: tokenHash(token), weight: 1}]),
+		...shape.rows ?? [],
 	];
 	return rows.map(([key, value]) => ({
 		kind: 'put' as const, table: 'config', key, value,
--- a/test/exchange.test.ts
+++ b/test/exchange.test.ts
@@ -50,7 +50,9 @@
 	['a missing handover says nothing', true, undefined, 'no-reply'],
 ] as const) {
 	test(`a sidecar that has left: ${title}`, async t => {
-		const reply = await exchangeWith(handover).send({run: Run.create(work(keyed)), index: 0, attempt: 1}, {session: 's', address: 'a', place: 'p'});
+		const reply = await exchangeWith(handover).send({
+			run: Run.create(work(keyed)), index: 0, attempt: 1, expectMs: 0,
+		}, {session: 's', address: 'a', place: 'p'});
 		t.is(reply.loss, loss);
 		t.deepEqual(reply.handed, handover?.length === 1 ? item : undefined);
 	});
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -6,7 +6,10 @@
 	couldHold, judgeClaim, recover, type Claim, type Session,
 } from '../src/decide/claim.js';
 import {Config} from '../src/decide/config.js';
-import {isConfirmed, type Confirmation} from '../src/decide/confirm.js';
+import {
+	due, subset, subsetSize, type Hearing,
+} from '../src/decide/announce.js';
+import {acksNeeded, isConfirmed, type Confirmation} from '../src/decide/confirm.js';
 import {
 	healthy, observe, probe, standingOf,
 } from '../src/decide/eject.js';
@@ -66,7 +69,7 @@
 });
 
 const told = (fields: Partial<Confirmation>): Confirmation => ({
-	asOf: 10_000, heard: 10_000, readable: true, version: 5, ...fields,
+	asOf: 10_000, heard: 10_000, readable: true, pending: false, version: 5, ...fields,
 });
 const unreadable = told({readable: false, asOf: 0});
 
@@ -76,6 +79,7 @@
 	['a newer version elsewhere does not', [told({version: 6})], 1, 11_000, false],
 	['a majority that cannot read does', [unreadable, unreadable], 3, 11_000, true],
 	['a minority that cannot read does not', [unreadable], 3, 11_000, false],
+	['a majority of which one was told of a change does not', [unreadable, told({readable: false, asOf: 0, pending: true})], 3, 11_000, false],
 	['a majority heard long ago does not', [unreadable, unreadable], 3, 14_000, false],
 	['nobody heard does not', [], 3, 0, false],
 ] as const) {
@@ -84,6 +88,38 @@
 	});
 }
 
+test('a change is told to so many entries that no majority of any subset missed it', t => {
+	for (let entries = 1; entries <= 60; entries++) {
+		const missed = entries - acksNeeded(entries, subsetSize);
+		t.true(missed <= Math.min(entries, subsetSize) / 2, `${entries} entries`);
+	}
+});
+
+const hearing = (entry: string, heard: number, tried = 0): Hearing => ({entry, heard, tried});
+
+for (const [title, hearings, need, expected] of [
+	['nobody while all were heard lately', [hearing('a', 97_000), hearing('b', 90_000)], 'presence', []],
+	['the longest unheard when all are quiet', [hearing('a', 95_000), hearing('b', 94_000)], 'presence', ['b']],
+	['each that was silent for long', [hearing('a', 99_000), hearing('b', 87_000)], 'presence', ['b']],
+	['nobody again at once', [hearing('b', 87_000, 99_500)], 'presence', []],
+	['all that are not fresh when that is needed', [hearing('a', 98_000), hearing('b', 99_000)], 'fresh', ['a']],
+] as const) {
+	test(`announcing goes to ${title}`, t => {
+		t.deepEqual(due(hearings, need, 100_000), expected);
+	});
+}
+
+test('a subset is stable: an entry that leaves moves only its own sidecars', t => {
+	const entries = Array.from({length: 50}, (_, index) => `entry-${index}`);
+	const rest = entries.slice(1);
+	for (let index = 0; index < 100; index++) {
+		const before = subset(`s-${index}`, entries);
+		const after = subset(`s-${index}`, rest);
+		t.is(after.length, subsetSize);
+		t.deepEqual(before.filter(entry => entry !== 'entry-0'), after.slice(0, before.includes('entry-0') ? subsetSize - 1 : subsetSize));
+	}
+});
+
 function keepsNewest(some: Array<{table: string; key: string; value: unknown; version: number; created: number}>): boolean {
 	let config = Config.empty;
 	for (const one of some) {
