Fill the own share of each place first; sidecars tell the paces of their places

Change: the slots of a place are shared out among the entries that see it. An entry fills its share whatever it was told, and beyond it leaves one slot more than was told free.

--- a/src/decide/place.ts
+++ b/src/decide/place.ts
@@ -1,4 +1,5 @@
 import {slotsNow} from './member.js';
+import {rank} from './rendezvous.js';
 import type {Standing} from './eject.js';
 
 /** Candidate is a place as the choice sees it. */
@@ -84,6 +85,17 @@
 	}
 }
 
+/**
+ * Returns how many of a place's slots are an entry's own, when several entries send there: as many for
+ * each, and what is left over to the first by rendezvous. What the others do there meanwhile is not
+ * known, so an entry fills its own share first.
+ */
+export function shareOf(place: string, slots: number, entries: readonly string[], self: string): number {
+	const each = Math.floor(slots / Math.max(1, entries.length));
+	const over = slots - (each * entries.length);
+	return each + (over > 0 && rank(place, entries).indexOf(self) < over ? 1 : 0);
+}
+
 /** Says whether a place could begin one more task now. */
 export function isFree(candidate: Candidate, now: number): boolean {
 	if (candidate.standing === 'probe' && candidate.running + candidate.reserved > 0) {
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -77,7 +77,7 @@
 
 	/** How many times longer than ordinary a place takes. */
 	slowness(seat: Seat): number {
-		return this.estimate.slowness(seat.id);
+		return this.estimate.slowness(seat.id, seat.report.pace);
 	}
 
 	/** Queues the tasks of a run that are not sent or ended, and follows them until the run ends. */
@@ -374,7 +374,7 @@
 		if (seat) {
 			this.roster.judge(seat, true);
 			this.estimate = this.estimate.observe({
-				route: task.run.work.route, place: seat.id, ranMs: reply.ranMs, declaredMs: declaredMs(task.run, task.index),
+				route: task.run.work.route, place: seat.id, ranMs: reply.ranMs, declaredMs: declaredMs(task.run, task.index), told: seat.report.pace,
 			});
 		}
 	}
--- a/src/entry/roster.ts
+++ b/src/entry/roster.ts
@@ -10,7 +10,7 @@
 import {
 	lostMs, missedMs, stageOf, type Presence, type Stage,
 } from '../decide/member.js';
-import type {Candidate} from '../decide/place.js';
+import {shareOf, type Candidate} from '../decide/place.js';
 import type {Clock} from '../ports/clock.js';
 import type {Feed} from './feed.js';
 
@@ -54,7 +54,7 @@
 /** Parts is what a roster is made of; `changed` is told the pools whose places may have changed. */
 export type Parts = {clock: Clock; feed: Feed; session: string; address: () => string; changed: (pools: Iterable<string>) => void};
 
-type Duties = {version: number; entries: readonly string[]; known: Map<string, boolean>};
+type Duties = {version: number; entries: readonly string[]; known: Map<string, boolean>; shares: Map<string, number>};
 
 /** Roster is the sidecars that announce themselves to this entry, and their places. */
 export class Roster {
@@ -69,7 +69,7 @@
 	private missed: ReadonlyMap<string, number> = new Map();
 	/** Which sessions announce themselves here, as worked out from one version of the sessions. */
 	private duties: Duties = {
-		version: -1, entries: [], known: new Map(),
+		version: -1, entries: [], known: new Map(), shares: new Map(),
 	};
 
 	private constructor(private readonly parts: Parts) {
@@ -108,7 +108,7 @@
 				continue;
 			}
 
-			const running = runningAt(seat);
+			const running = this.runningAt(seat);
 			candidates.push({
 				id: seat.id,
 				zone: seat.zone,
@@ -238,12 +238,40 @@
 		return silent.filter(session => now - missed.get(session)! > lostMs);
 	}
 
+	/** How many more tasks this entry may send to a seat whatever the others do: the slots are shared out among the entries that see it. */
+	private shareLeft({
+		id, session, report, mine,
+	}: Seat): number {
+		const {entries, shares} = this.duty;
+		const share = shares.get(id) ?? shareOf(id, report.slots, subset(session, entries), this.parts.address());
+		shares.set(id, share);
+		return Math.max(0, share - mine);
+	}
+
+	/**
+	 * The tasks at a seat for a choice. Of an upstream's they are no more than leave this entry its share;
+	 * beyond its share, one more than were told, since the others fill theirs without a word.
+	 */
+	private runningAt(seat: Seat): number {
+		const running = runningAt(seat);
+		if (seat.report.kind === 'worker') {
+			return running;
+		}
+
+		const left = this.shareLeft(seat);
+		if (left > 0) {
+			return Math.min(running, seat.report.slots - left);
+		}
+
+		return running > seat.mine ? running + 1 : running;
+	}
+
 	/** What follows from the sessions, worked out anew when they change. */
 	private get duty(): Duties {
 		const {feed} = this.parts;
 		if (this.duties.version !== feed.sessionsVersion) {
 			this.duties = {
-				version: feed.sessionsVersion, entries: feed.entries().map(row => row.value.address), known: new Map(),
+				version: feed.sessionsVersion, entries: feed.entries().map(row => row.value.address), known: new Map(), shares: new Map(),
 			};
 		}
 
--- a/test/policy.test.ts
+++ b/test/policy.test.ts
@@ -15,7 +15,7 @@
 } from '../src/decide/eject.js';
 import {Estimate} from '../src/decide/estimate.js';
 import {fits, report, type WorkerLoad} from '../src/decide/pack.js';
-import {choose, type Candidate} from '../src/decide/place.js';
+import {choose, shareOf, type Candidate} from '../src/decide/place.js';
 import {judgeLoss} from '../src/decide/retry.js';
 import {Queue, type Waiting} from '../src/decide/share.js';
 import type {Row} from '../src/ports/table.js';
@@ -139,6 +139,15 @@
 	});
 });
 
+for (const [slots, entries] of [[8, 3], [2, 5], [8, 1], [64, 16]] as const) {
+	test(`shares: ${entries} entries have the ${slots} slots of a place between them, none more than one above another`, t => {
+		const names = Array.from({length: entries}, (_, index) => `entry-${index}`);
+		const shares = names.map(name => shareOf('minion', slots, names, name));
+		t.is(shares.reduce((a, b) => a + b, 0), slots);
+		t.true(Math.max(...shares) - Math.min(...shares) <= 1);
+	});
+}
+
 const waiting = (member: string, deadline: number, costMs = 100): Waiting => ({member, deadline, costMs});
 
 test('sharing: no member gets more than its weight while another waits', t => {
