Read the audit trail in pages

Change: the newest 200, or with 'after' those that follow a version; 'limit' up to 1,000; the same at the command line. A limit of 0 is refused. A reader without 'after' still makes the table list the whole trail.

--- a/src/cli/admin.ts
+++ b/src/cli/admin.ts
@@ -117,8 +117,12 @@
 	static override paths = [['audit']];
 	static override usage = Command.Usage({category: 'Operators', description: 'list the changes, newest last'});
 
+	after = Option.String('--after', {description: 'only changes that follow this version, oldest first; otherwise the newest'});
+	limit = Option.String('--limit', '200', {description: 'how many changes at most'});
+
 	async execute(): Promise<number> {
-		return this.finish(await this.ask('GET', 'audit'), ({changes}: {changes: Array<Record<string, unknown>>}) =>
+		const query = new URLSearchParams({limit: this.limit, ...(this.after === undefined ? {} : {after: this.after})});
+		return this.finish(await this.ask('GET', `audit?${query.toString()}`), ({changes}: {changes: Array<Record<string, unknown>>}) =>
 			tableText(['version', 'at', 'who', 'row', 'before', 'after'], changes.map(change => [
 				String(change.version), new Date(Number(change.at)).toISOString(), String(change.who), `${String(change.table)}/${String(change.key)}`, JSON.stringify(change.before) ?? '-', JSON.stringify(change.after) ?? '-',
 			])));
--- a/src/entry/admin.ts
+++ b/src/entry/admin.ts
@@ -12,7 +12,7 @@
 } from '../settings/schema.js';
 import type {Feed} from './feed.js';
 import {operatorDocument} from './openapi.js';
-import {parseBody, sendError} from './problem.js';
+import {checkValue, parseBody, sendError} from './problem.js';
 
 /** InForce is in how many processes a version is in force, of how many known. */
 export type InForce = {entries: {inForce: number; known: number}; sidecars: {inForce: number; known: number}};
@@ -50,6 +50,13 @@
 /** How long a change may take from telling the other entries of it until it was heard to be written, in milliseconds. */
 const changeMs = 5000;
 const tables = Object.keys(schemas) as ConfigTable[];
+/** How many changes a list of the audit trail has where its reader names no number, and at most. */
+const auditLimit = 200;
+const auditMost = 1000;
+const auditQuery = z.strictObject({
+	after: z.coerce.number().int().nonnegative().optional(),
+	limit: z.coerce.number().int().positive().max(auditMost).default(auditLimit),
+});
 
 /** Builds the operators' port: the configuration tables, the audit trail, status and usage. */
 export function buildAdmin(parts: Parts): FastifyInstance {
@@ -71,7 +78,7 @@
 		app.delete(`/v1/admin/${table}/:name`, async (request, reply) => operator.delete(table, request, reply));
 	}
 
-	app.get('/v1/admin/audit', async () => operator.audit());
+	app.get('/v1/admin/audit', async request => operator.audit(request.query));
 	app.get('/v1/admin/usage', async () => operator.usage());
 	app.get('/v1/admin/status', async () => parts.status());
 	app.get('/openapi.json', async () => operatorDocument());
@@ -115,9 +122,12 @@
 		});
 	}
 
-	async audit(): Promise<unknown> {
-		const {rows} = await this.parts.table.list({tables: ['audit']});
-		return {changes: rows.toSorted((a, b) => a.version - b.version).map(row => ({version: row.version, ...(row.value as AuditEntry)}))};
+	/** Lists the newest changes, or with `after` those that follow a version; `more` says that others follow. */
+	async audit(query: unknown): Promise<unknown> {
+		const {after, limit} = checkValue(auditQuery, query, 'badChange');
+		const {rows} = await this.parts.table.list({tables: ['audit'], after});
+		const changes = rows.toSorted((a, b) => a.version - b.version).map(row => ({version: row.version, ...(row.value as AuditEntry)}));
+		return after === undefined ? {changes: changes.slice(-limit), more: false} : {changes: changes.slice(0, limit), more: changes.length > limit};
 	}
 
 	async usage(): Promise<unknown> {
--- a/src/entry/openapi.ts
+++ b/src/entry/openapi.ts
@@ -59,7 +59,7 @@
 		};
 	}
 
-	for (const [path, summary] of [['audit', 'Lists the changes, newest last.'], ['status', 'Returns the processes and the configuration in force.'], ['usage', 'Returns the usage of each member.']] as const) {
+	for (const [path, summary] of [['audit', 'Lists the newest changes, or those after the version `after`; at most `limit`.'], ['status', 'Returns the processes and the configuration in force.'], ['usage', 'Returns the usage of each member.']] as const) {
 		paths[`/v1/admin/${path}`] = {get: {summary, responses: responses('operator')}};
 	}
 
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -67,6 +67,11 @@
 		throw Failure.create(name, `the body is not JSON: ${(error as Error).message}`);
 	}
 
+	return checkValue(schema, value, name);
+}
+
+/** Checks a value by a schema. Throws `Failure` with the fields that are wrong. */
+export function checkValue<Schema extends z.ZodType>(schema: Schema, value: unknown, name: 'badInput' | 'badChange'): z.infer<Schema> {
 	const parsed = schema.safeParse(value);
 	if (!parsed.success) {
 		throw Failure.create(name, parsed.error.issues.map(issue => describe(issue, value)).join('; '));
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -155,6 +155,25 @@
 	});
 }
 
+test.serial('operators: the audit trail is read in pages', async t => {
+	const {cluster} = t.context;
+	const [entry] = cluster.entries;
+	for (const state of ['out', 'in', 'out', 'in'] as const) {
+		t.true(await cluster.switch(entry!, 'upstreams', 'minion-0', state));
+	}
+
+	type Page = {changes: Array<{version: number}>; more: boolean};
+	const page = async (query: string) => (await cluster.admin(entry!, 'GET', `audit?${query}`))!.body as Page;
+	const first = await page('after=0&limit=3');
+	const rest = await page(`after=${first.changes.at(-1)!.version}&limit=1000`);
+	const newest = await page('limit=1');
+	t.is(first.changes.length, 3);
+	t.true(first.more);
+	t.false(rest.more);
+	t.deepEqual(newest.changes, rest.changes.slice(-1));
+	t.is((await cluster.admin(entry!, 'GET', 'audit?limit=0'))?.status, 400);
+});
+
 test.serial('health, metrics and the OpenAPI documents are served', async t => {
 	const {urls} = t.context.cluster.entries[0]!;
 	for (const [path, words] of [['/readyz', 'ready'], ['/livez', 'ok'], ['/metrics', 'sniperidge_requests_total'], ['/openapi.json', '"/v1/jobs/{key}"']] as const) {
