Wait for callers to end their connections before a stop closes them; greet sidecars on joining

A connection that was idle since before the drain was closed while its next request was on the way; ruled out: a job cut short (the entry was idle). Change: idle connections are kept 5 s, which callers are told, so that they end theirs sooner; a stop waits up to 5 s for that. A joining entry greets its sidecars. The fault bench names the error of a missing answer. Slopes: idle points with 4 and 16 entries, released claims, one kind of point alone.

--- a/bench/check.ts
+++ b/bench/check.ts
@@ -17,6 +17,8 @@
 	repeatable: boolean;
 	/** Nothing when no answer came. */
 	answer?: {result: number; tasks: readonly string[]};
+	/** The code of the error that came instead of an answer. */
+	error?: string;
 	/** Whether the entry was only ever asked to stop gracefully, so that it owed an answer. */
 	owed: boolean;
 };
@@ -86,7 +88,7 @@
 	for (const one of told) {
 		if (!one.answer) {
 			if (one.owed) {
-				found('graceful', `${one.claim} at ${one.entry} got no answer`);
+				found('graceful', `${one.claim} at ${one.entry} got no answer (${one.error})`);
 			}
 
 			continue;
--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -112,12 +112,14 @@
 	while (performance.now() < until) {
 		const entry = cluster.entries[Math.floor(random.next() * cluster.entries.length)]!;
 		const reply = await cluster.put(entry, job.key, job.bodies.map(body => JSON.parse(body) as unknown), {route: job.route, member: job.member, deadlineMs: tryMs});
-		const refused = (cluster.lastError as {code?: string} | undefined)?.code === 'ECONNREFUSED';
+		const error = (cluster.lastError as {code?: string} | undefined)?.code;
+		const refused = error === 'ECONNREFUSED';
 		const told: Told = {
 			claim: `${job.member}/${job.key}`,
 			entry: entry.name,
 			bodies: job.bodies.map(body => createHash('sha256').update(body).digest('hex')),
 			repeatable: false,
+			error: reply ? undefined : error,
 			owed: reply === undefined && !refused && entry.fate !== 'killed',
 		};
 		if (reply) {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -17,7 +17,7 @@
 	const [scenario = 'faults'] = positionals;
 	if (scenario === 'slopes') {
 		const {measureSlopes} = await import('./slopes.js');
-		await measureSlopes();
+		await measureSlopes(positionals[1]);
 		return;
 	}
 
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -13,28 +13,34 @@
 import {cpuMs, round, rssMb} from './account.js';
 
 const silent = pino({level: 'silent'});
-const idleMs = 8000;
+/** Long enough for two rounds of announcements. */
+const idleMs = 24_000;
 const loadMs = 6000;
 
-/** Measures how the cost of each role grows, at several points each, and prints one JSON line a point. */
-export async function measureSlopes(): Promise<void> {
-	for (const sidecars of [10, 30, 100, 200]) {
-		print(await idleEntry(sidecars));
+/** The sidecars and entries of the idle points, and the jobs a second and their tasks of the others. */
+const idlePoints = [[10, 1], [30, 1], [100, 1], [200, 1], [10, 4], [50, 4], [10, 16], [50, 16]] as const;
+const jobPoints = [[100, 1], [500, 1], [40, 10], [8, 50], [2, 270]] as const;
+
+/** Measures how the cost of each role grows, at several points each or of one kind only, and prints one JSON line a point. */
+export async function measureSlopes(only?: string): Promise<void> {
+	const wanted = (point: string) => only === undefined || only === point;
+	for (const [sidecars, entries] of wanted('sidecars') ? idlePoints : []) {
+		print(await idle(sidecars, entries));
 	}
 
-	for (const perSecond of [100, 200, 400]) {
+	for (const perSecond of wanted('requests') ? [100, 200, 400] : []) {
 		print(await requests(perSecond));
 	}
 
-	for (const [perSecond, tasks] of [[100, 1], [500, 1], [40, 10], [8, 50], [2, 270]] as const) {
+	for (const [perSecond, tasks] of wanted('jobs') ? jobPoints : []) {
 		print(await jobs(perSecond, tasks));
 	}
 
-	for (const claims of [2000, 22_000, 44_000]) {
+	for (const claims of wanted('released') ? [2000, 22_000, 44_000] : []) {
 		print(released(claims));
 	}
 
-	for (const members of [2, 10, 38]) {
+	for (const members of wanted('changes') ? [2, 10, 38] : []) {
 		print(await changes(members));
 	}
 }
@@ -62,10 +68,11 @@
 	process.stdout.write(`${JSON.stringify(line)}\n`);
 }
 
-/** The cost to one entry of so many sidecars that have nothing to do. */
-async function idleEntry(count: number): Promise<Record<string, unknown>> {
-	const cluster = await Cluster.create({entries: 1, sidecars: ['zone-0']});
+/** The cost to so many entries, together and to the first, of sidecars that have nothing to do. */
+async function idle(count: number, entries: number): Promise<Record<string, unknown>> {
+	const cluster = await Cluster.create({entries, sidecars: ['zone-0']});
 	const entry = cluster.entries[0]!;
+	const bytesOf = () => cluster.entries.map(({proxy}) => proxy.bytes).reduce((a, b) => a + b, 0);
 	const sidecars = await Promise.all(Array.from({length: count - 1}, async (_, index) => Sidecar.create(sidecarSettings.parse({
 		name: `idle-${index}`,
 		zone: 'zone-0',
@@ -75,14 +82,15 @@
 	}), silent)));
 	await sleep(4000);
 	const pid = entry.child.pid!;
-	const before = {cpu: cpuMs(pid), bytes: entry.proxy.bytes, reads: cluster.platform.counts.reads};
+	const before = {cpu: cpuMs(pid), bytes: bytesOf(), reads: cluster.platform.counts.reads};
 	await sleep(idleMs);
 	const line = {
 		point: 'sidecars',
 		sidecars: count,
+		entries,
 		entryCpuPct: round((cpuMs(pid) - before.cpu) / idleMs * 100),
 		entryRssMb: round(rssMb(pid)),
-		controlBytesPerSecond: round((entry.proxy.bytes - before.bytes) / idleMs * 1000),
+		controlBytesPerSecond: round((bytesOf() - before.bytes) / idleMs * 1000),
 		storeReadsPerSecond: round((cluster.platform.counts.reads - before.reads) / idleMs * 1000),
 	};
 	await Promise.all(sidecars.map(async sidecar => sidecar.stop()));
--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -70,6 +70,7 @@
 					start: async (request, call) => client.start(request, options(call)),
 					cancel: async (request, call) => client.cancel(request, options(call)),
 					collect: async (request, call) => client.collect(request, options(call)),
+					greet: async (request, call) => client.greet(request, options(call)),
 				};
 				sidecars.set(address, peer);
 			}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -3,7 +3,7 @@
 import type {FastifyInstance} from 'fastify';
 import type {Logger} from 'pino';
 import {
-	Entry as EntryService, JoinRequestSchema, PrepareReplySchema, PrepareRequestSchema, PushReplySchema,
+	Entry as EntryService, GreetRequestSchema, JoinRequestSchema, PrepareReplySchema, PrepareRequestSchema, PushReplySchema,
 } from '../../gen/sniperidge/v1/peer_pb.js';
 import {Batch} from '../adapters/batch.js';
 import {systemClock, unlimited} from '../adapters/clock.js';
@@ -24,7 +24,7 @@
 import {buildAdmin, type InForce} from './admin.js';
 import {Dispatch} from './dispatch.js';
 import {Feed} from './feed.js';
-import {buildFront} from './front.js';
+import {buildFront, keepAliveMs} from './front.js';
 import {Jobs} from './jobs.js';
 import {Ledger} from './ledger.js';
 import {Meters} from './metrics.js';
@@ -171,7 +171,8 @@
 
 	private async drain(): Promise<void> {
 		const {clock, jobs, settings, log} = this;
-		const until = clock.mono() + settings.drainMs;
+		const began = clock.mono();
+		const until = began + settings.drainMs;
 		jobs.drain(until - Math.min(answerMs, settings.drainMs / 2));
 		log.info({underWay: jobs.size}, 'draining');
 		await clock.sleep(lingerMs);
@@ -179,6 +180,7 @@
 			await clock.sleep(20);
 		}
 
+		await this.emptied(Math.min(until, began + keepAliveMs));
 		await this.front.close();
 		const flushed = new AbortController();
 		await Promise.race([this.meter.flush(this.stopping.signal), clock.sleep(flushMs, flushed.signal)]);
@@ -194,6 +196,22 @@
 		log.info('stopped');
 	}
 
+	/**
+	 * Waits until callers have ended their connections. One that is closed while it is idle may have its
+	 * next request on the way; a request that comes before is answered, and its connection closed with it.
+	 */
+	private async emptied(until: number): Promise<void> {
+		const {server} = this.front;
+		const count = async () => new Promise<number>(resolve => {
+			server.getConnections((error, open) => {
+				resolve(error ? 0 : open);
+			});
+		});
+		while (this.clock.mono() < until && (await count() > 0 || !this.jobs.idle)) {
+			await this.clock.sleep(20);
+		}
+	}
+
 	private async listen(): Promise<void> {
 		const {settings} = this;
 		this.server = await servePeers(settings.host, settings.ports.peers, router => {
@@ -229,6 +247,7 @@
 		}
 
 		await feed.refresh();
+		this.greet();
 		void feed.follow(stopping.signal);
 		void this.meter.follow(stopping.signal);
 		this.joined = true;
@@ -239,6 +258,17 @@
 		}, tickMs);
 	}
 
+	/** Tells the sidecars that announce themselves here that this entry is there. */
+	private greet(): void {
+		const request = create(GreetRequestSchema, {entry: this.address});
+		for (const {key, value} of this.feed.sidecars()) {
+			if (this.roster.mine(key)) {
+				// One that does not hear it hears of the entry with a later beat.
+				void this.peers.sidecar(value.address).greet(request, {timeoutMs: pingMs}).catch(() => undefined);
+			}
+		}
+	}
+
 	private async leave(): Promise<void> {
 		try {
 			const row = await readSession(this.store, this.session);
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -39,9 +39,14 @@
 /** Parts is what the callers' port is made of. */
 export type Parts = {clock: Clock; feed: Feed; jobs: Jobs; meters: Meters; maxBodyBytes: number; joined(): boolean; ready(): boolean};
 
+/** How long a connection without a request is kept, in milliseconds; callers are told, so that they end it sooner themselves. */
+export const keepAliveMs = 5000;
+
 /** Builds the callers' port: jobs, requests, health, metrics and the OpenAPI document. */
 export function buildFront(parts: Parts): FastifyInstance {
-	const app = fastify({bodyLimit: parts.maxBodyBytes, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle'});
+	const app = fastify({
+		bodyLimit: parts.maxBodyBytes, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle', keepAliveTimeout: keepAliveMs,
+	});
 	app.removeAllContentTypeParsers();
 	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
 		done(null, body);
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -5,6 +5,8 @@
 	CancelRequest,
 	CollectReply,
 	CollectRequest,
+	GreetReply,
+	GreetRequest,
 	JoinReply,
 	JoinRequest,
 	PrepareReply,
@@ -31,6 +33,7 @@
 	start(request: StartRequest, call: Call): Promise<StartReply>;
 	cancel(request: CancelRequest, call: Call): Promise<CancelReply>;
 	collect(request: CollectRequest, call: Call): Promise<CollectReply>;
+	greet(request: GreetRequest, call: Call): Promise<GreetReply>;
 };
 
 /** Peers opens the other processes by address, each over one kept connection. */
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -99,6 +99,17 @@
 		}
 	}
 
+	/** Announces to an entry that has just joined, at once. */
+	greet(entry: string): void {
+		if (!this.following.includes(entry)) {
+			this.follow([...this.known, entry]);
+		}
+
+		if (this.following.includes(entry) && !this.running.signal.aborted) {
+			void this.beat(entry);
+		}
+	}
+
 	/** Whether any entry was heard lately. */
 	get heard(): boolean {
 		const now = this.parts.clock.mono();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {create} from '@bufbuild/protobuf';
 import type {Logger} from 'pino';
 import {systemClock, unlimited} from '../adapters/clock.js';
 import {openUpstream} from '../adapters/backend.js';
@@ -8,7 +9,7 @@
 	endSession, findEntries, handoverKey, joinSession, readSession,
 } from '../adapters/sessions.js';
 import {openStore, type Store} from '../adapters/table.js';
-import {Sidecar as SidecarService} from '../../gen/sniperidge/v1/peer_pb.js';
+import {GreetReplySchema, Sidecar as SidecarService} from '../../gen/sniperidge/v1/peer_pb.js';
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
 import type {SidecarSettings} from '../settings/schema.js';
@@ -145,6 +146,10 @@
 				start: async (request, context) => gate.start(request, context.signal),
 				cancel: request => gate.cancel(request),
 				collect: request => gate.collect(request),
+				greet: request => {
+					this.beats.greet(request.entry);
+					return create(GreetReplySchema);
+				},
 			});
 		});
 		this.local = await serveLocal(settings.host, settings.ports.local, {
