--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -30,6 +30,8 @@
 const arrivalMs = 45;
 const callerMs = 14_000;
 const tryMs = 6000;
+/** When a fault comes that comes alone, in milliseconds. */
+const onlyAt = 2000;
 /** How long a run may take to write its last outcomes, in milliseconds. */
 const quietMs = 2500;
 
@@ -48,8 +50,8 @@
 	busy: Set<string>;
 };
 
-/** Runs one random schedule of faults from its seed and judges it. */
-export async function runSeed(seed: number): Promise<SeedResult> {
+/** Runs one random schedule of faults from its seed, or one fault of a kind alone, and judges it. */
+export async function runSeed(seed: number, only?: string): Promise<SeedResult> {
 	const random = seededRandom(seed + loadStream);
 	const cluster = await Cluster.create({
 		entries: 2, sidecars: ['zone-0', 'zone-1', 'zone-1'], workers: seed % 3 === 0 ? ['zone-0', 'zone-1'] : [], slots: 6, drainMs: 8000,
@@ -58,7 +60,7 @@
 		cluster, random, told: [], removals: [], accepted: [], faults: [], recovery: {ms: 0}, busy: new Set(),
 	};
 	try {
-		const [jobs] = await Promise.all([drive(scene), harm(scene, seed)]);
+		const [jobs] = await Promise.all([drive(scene), harm(scene, seed, only)]);
 		await Promise.all(jobs);
 		await restore(scene);
 		const notes: string[] = [];
@@ -220,11 +222,15 @@
 };
 
 /** Draws the whole schedule first, so that a seed names the same faults whatever the timing. */
-async function harm(scene: Scene, seed: number): Promise<void> {
+async function harm(scene: Scene, seed: number, only?: string): Promise<void> {
 	const random = seededRandom(seed);
 	const names = Object.keys(faults);
 	const count = 2 + Math.floor(random.next() * 4);
 	const schedule = Array.from({length: count}, () => ({name: names[Math.floor(random.next() * names.length)]!, at: 200 + (random.next() * loadMs)}));
+	if (only !== undefined) {
+		schedule.splice(0, schedule.length, {name: only, at: onlyAt});
+	}
+
 	scene.faults.push(...schedule.map(({name}) => name));
 	await Promise.all(schedule.map(async ({name, at}, index) => {
 		await sleep(at);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 		args: [...words], allowPositionals: true, options: {
 			seeds: {type: 'string', default: '1..3'},
 			jobs: {type: 'string', default: '3'},
+			only: {type: 'string'},
 			seed: {type: 'string', default: '1'},
 			policy: {type: 'string', default: 'finish'},
 			deployment: {type: 'string', default: 'zajednica'},
@@ -32,7 +33,7 @@
 	const done: SeedResult[] = [];
 	await Promise.all(Array.from({length: Number(values.jobs)}, async () => {
 		for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-			const result = await runSeed(seed);
+			const result = await runSeed(seed, values.only);
 			done.push(result);
 			process.stdout.write(`${JSON.stringify(result)}\n`);
 		}
@@ -51,6 +52,7 @@
 		faults: sum(({faults}) => faults.length),
 		jobs: sum(({jobs}) => jobs),
 		starts: sum(({starts}) => starts),
+		recoveryMs: done.map(({recoveryMs}) => recoveryMs).toSorted((a, b) => a - b),
 		violations: sum(({violations}) => Object.values(violations).reduce((a, b) => a + b, 0)),
 	})}\n`);
 }
--- /dev/null
+++ b/test/beat.test.ts
@@ -0,0 +1,35 @@
+import {create} from '@bufbuild/protobuf';
+import test from 'ava';
+import {EchoSchema} from '../gen/sniperidge/v1/peer_pb.js';
+import type {Peers} from '../src/ports/peer.js';
+import {Beats} from '../src/sidecar/beat.js';
+
+/** Beats of a sidecar that follows the entry `a`, at a moment of its clock. */
+function beatsAt(now: number): Beats {
+	return Beats.create({
+		peers: {} as unknown as Peers,
+		clock: {now: () => now, mono: () => now, sleep: async () => undefined},
+		entries: ['a'],
+		listener: {configured: () => undefined, ended: () => undefined},
+		announce: () => ({
+			session: 's', address: 'b', zone: 'z', draining: false, places: [],
+		}),
+		find: async () => [],
+		waiting: () => false,
+	});
+}
+
+for (const [title, now, echo, expected] of [
+	['confirms by itself', 11_600, {entry: 'a', stamp: 11_000, ageMs: -500}, true],
+	['confirms however old its stamp is, if the table was read since', 41_600, {entry: 'a', stamp: 11_000, ageMs: -30_000}, true],
+	['counts for nothing when the table was read too long ago', 14_600, {entry: 'a', stamp: 11_000, ageMs: -500}, false],
+	['counts for nothing when it is dated in the future', 11_400, {entry: 'a', stamp: 11_000, ageMs: -500}, false],
+	['counts for nothing when clocks may have drifted since its stamp', 81_100, {entry: 'a', stamp: 11_000, ageMs: -70_000}, false],
+	['counts for nothing from an entry that is not followed', 11_600, {entry: 'x', stamp: 11_000, ageMs: -500}, false],
+] as const) {
+	test(`a start's confirmation ${title}`, t => {
+		const beats = beatsAt(now);
+		beats.take(create(EchoSchema, {...echo, readable: true}));
+		t.is(beats.confirmed(), expected);
+	});
+}
