Fold long lines; name what the test cluster is asked

Cause: nine lines over the limit that the linter warns of. Change: named types for the cluster's requests, folded lines.

--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -108,7 +108,10 @@
 				}
 			}
 
-			await Promise.all([...cancelled].map(async index => cluster.ask(cluster.entries[index % cluster.entries.length]!.urls.callers!, {method: 'DELETE', path: `/v1/jobs/bench-${index}`, member: memberOf(index)})));
+			const entryOf = (index: number) => cluster.entries[index % cluster.entries.length]!;
+			await Promise.all([...cancelled].map(async index => cluster.ask(entryOf(index).urls.callers!, {
+				method: 'DELETE', path: `/v1/jobs/bench-${index}`, member: memberOf(index),
+			})));
 		},
 	},
 	rolling: {
--- a/src/cli/admin.ts
+++ b/src/cli/admin.ts
@@ -73,7 +73,8 @@
 		static override usage = Command.Usage({category: 'Operators', description: `list ${table}`});
 
 		async execute(): Promise<number> {
-			return this.finish(await this.ask('GET', table), ({rows}: {rows: RowView[]}) => tableText(['name', 'version', 'value'], rows.map(row => [row.name, row.version, JSON.stringify(row.value)])));
+			return this.finish(await this.ask('GET', table), ({rows}: {rows: RowView[]}) =>
+				tableText(['name', 'version', 'value'], rows.map(row => [row.name, row.version, JSON.stringify(row.value)])));
 		}
 	}
 
@@ -124,7 +125,12 @@
 		const query = new URLSearchParams({limit: this.limit, ...(this.after === undefined ? {} : {after: this.after})});
 		return this.finish(await this.ask('GET', `audit?${query.toString()}`), ({changes}: {changes: Array<Record<string, unknown>>}) =>
 			tableText(['version', 'at', 'who', 'row', 'before', 'after'], changes.map(change => [
-				String(change.version), new Date(Number(change.at)).toISOString(), String(change.who), `${String(change.table)}/${String(change.key)}`, JSON.stringify(change.before) ?? '-', JSON.stringify(change.after) ?? '-',
+				String(change.version),
+				new Date(Number(change.at)).toISOString(),
+				String(change.who),
+				`${String(change.table)}/${String(change.key)}`,
+				JSON.stringify(change.before) ?? '-',
+				JSON.stringify(change.after) ?? '-',
 			])));
 	}
 }
--- a/src/entry/openapi.ts
+++ b/src/entry/openapi.ts
@@ -55,11 +55,19 @@
 				requestBody: json(schema),
 				responses: responses('operator'),
 			},
-			delete: {summary: 'Deletes a row if its version is still the one named.', parameters: [name, change, parameter('If-Match', 'header', 'The version to delete.')], responses: responses('operator')},
+			delete: {
+				summary: 'Deletes a row if its version is still the one named.',
+				parameters: [name, change, parameter('If-Match', 'header', 'The version to delete.')],
+				responses: responses('operator'),
+			},
 		};
 	}
 
-	for (const [path, summary] of [['audit', 'Lists the newest changes, or those after the version `after`; at most `limit`.'], ['status', 'Returns the processes and the configuration in force.'], ['usage', 'Returns the usage of each member.']] as const) {
+	for (const [path, summary] of [
+		['audit', 'Lists the newest changes, or those after the version `after`; at most `limit`.'],
+		['status', 'Returns the processes and the configuration in force.'],
+		['usage', 'Returns the usage of each member.'],
+	] as const) {
 		paths[`/v1/admin/${path}`] = {get: {summary, responses: responses('operator')}};
 	}
 
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -61,6 +61,17 @@
 /** Reply is what a caller got: nothing when the connection broke or no answer came. */
 export type Reply = {status: number; result: number; body: Record<string, unknown> & {tasks?: Array<{body: string; place: string}>}};
 
+type Headers = Record<string, string>;
+
+/** Submitting is how a job is sent; `declared` are the expected times of its tasks, in milliseconds. */
+export type Submitting = {route?: string; member?: MemberName; deadlineMs?: number; headers?: Headers; declared?: readonly number[]};
+
+/** Asking is one request to the callers' port. */
+export type Asking = {method: 'GET' | 'PUT' | 'POST' | 'DELETE'; path: string; body?: string; headers?: Headers; member?: MemberName};
+
+/** Administered is what the operators' port answered. */
+export type Administered = {status: number; etag: string; body: Record<string, unknown>};
+
 const members = {alpha: 'token-alpha-1', beta: 'token-beta-22'} as const;
 
 /** MemberName is one of the two members of a test cluster. */
@@ -154,7 +165,7 @@
 	}
 
 	/** Submits a job of bodies under a key. Resolves to nothing when no answer came. */
-	async put(entry: Node, key: string, bodies: readonly unknown[], options: {route?: string; member?: MemberName; deadlineMs?: number; headers?: Record<string, string>; declared?: readonly number[]} = {}): Promise<Reply | undefined> {
+	async put(entry: Node, key: string, bodies: readonly unknown[], options: Submitting = {}): Promise<Reply | undefined> {
 		const {route = 'task', member = 'alpha', deadlineMs = 10_000, headers, declared} = options;
 		const body = JSON.stringify({route, deadlineMs, tasks: bodies.map((value, index) => ({body: JSON.stringify(value), expectMs: declared?.[index]}))});
 		return this.ask(entry.urls.callers!, {
@@ -170,7 +181,7 @@
 	}
 
 	/** Asks the callers' port of an entry. */
-	async ask(url: string, {method, path, body, headers, member = 'alpha'}: {method: 'GET' | 'PUT' | 'POST' | 'DELETE'; path: string; body?: string; headers?: Record<string, string>; member?: MemberName}): Promise<Reply | undefined> {
+	async ask(url: string, {method, path, body, headers, member = 'alpha'}: Asking): Promise<Reply | undefined> {
 		try {
 			const reply = await request(`${url}${path}`, {
 				method,
@@ -188,7 +199,7 @@
 	}
 
 	/** Asks the operators' port of an entry. Resolves to nothing when no answer came. */
-	async admin(entry: Node, method: 'GET' | 'PUT' | 'DELETE', path: string, value?: unknown, headers: Record<string, string> = {}): Promise<{status: number; etag: string; body: Record<string, unknown>} | undefined> {
+	async admin(entry: Node, method: 'GET' | 'PUT' | 'DELETE', path: string, value?: unknown, headers: Headers = {}): Promise<Administered | undefined> {
 		try {
 			const reply = await request(`${entry.urls.operators!}/v1/admin/${path}`, {
 				method,
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -182,7 +182,8 @@
 	}
 });
 
-const command = (words: string[], environment: Record<string, string> = {}) => spawnSync(process.execPath, [fileURLToPath(new URL('../src/cli/main.js', import.meta.url)), ...words], {encoding: 'utf8', env: {...process.env, ...environment}});
+const program = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const command = (words: string[], environment: Record<string, string> = {}) => spawnSync(process.execPath, [program, ...words], {encoding: 'utf8', env: {...process.env, ...environment}});
 
 test.serial('command line: exit codes tell done, refused, unknown and wrong use apart', t => {
 	const {urls} = t.context.cluster.entries[0]!;
