A sidecar that failed to answer is passed over, not taken for out of service

Cause: the case 'a request that may not be repeated ... cut at any stage' failed on a busy machine: 1 to 20 of 60 requests were refused with 109. With the connections to all sidecars cut at once each was suspected, and admission found no place.

--- a/src/decide/member.ts
+++ b/src/decide/member.ts
@@ -1,5 +1,5 @@
-/** Presence is when a sidecar was last heard, since when it has been back, and when it last failed to answer. Monotonic milliseconds. */
-export type Presence = {heard: number; since: number; doubted?: number};
+/** Presence is when a sidecar was last heard and since when it has been back. Monotonic milliseconds. */
+export type Presence = {heard: number; since: number};
 
 /** Stage is how far a sidecar is trusted: live, suspected (no new work) or gone (removed). */
 export type Stage = 'live' | 'suspect' | 'gone';
@@ -8,8 +8,6 @@
 const suspectMs = 16_000;
 /** Silence after which a sidecar is removed. */
 const goneMs = 20_000;
-/** How long a sidecar that failed to answer gets no new work unless it is heard. */
-const doubtMs = 2000;
 /** Silence after which a session counts as missed where it should be heard. */
 export const missedMs = 16_000;
 /** How long a session is missed before it is written as lost, by whoever notices. */
@@ -20,9 +18,8 @@
 /** Says how far a sidecar is trusted after this silence. */
 export function stageOf(presence: Presence, now: number): Stage {
 	const silence = now - presence.heard;
-	const doubted = presence.doubted !== undefined && presence.doubted > presence.heard && now - presence.doubted < doubtMs;
 	if (silence < suspectMs) {
-		return doubted ? 'suspect' : 'live';
+		return 'live';
 	}
 
 	return silence < goneMs ? 'suspect' : 'gone';
--- a/src/entry/roster.ts
+++ b/src/entry/roster.ts
@@ -41,11 +41,15 @@
 	stage: Stage;
 	/** The sidecar's clock when it last spoke, to be echoed. */
 	stamp: number;
+	/** Monotonic milliseconds before which nothing new goes there because it failed to answer. */
+	doubtedUntil: number;
 };
 
 /** TaskSize is what a task takes of a worker. */
 export type TaskSize = {cores: number; memoryMb: number; accelerators: number};
 
+/** How long a sidecar that failed to answer gets no new work, in milliseconds. */
+const doubtMs = 1000;
 /** How long a place that refused for being full is passed over, in milliseconds. */
 export const refusedPauseMs = 15;
 /** How long a place that cannot start anything now is passed over, in milliseconds. */
@@ -118,7 +122,7 @@
 				slowness: slowness(seat),
 				standing: standingOf(seat.health, now),
 				returned: seat.returned,
-				notBefore: seat.notBefore,
+				notBefore: Math.max(seat.notBefore, this.attendances.get(seat.session)!.doubtedUntil),
 			});
 		}
 
@@ -149,6 +153,7 @@
 
 		if (reply && attendance) {
 			attendance.heard = this.parts.clock.mono();
+			attendance.doubtedUntil = 0;
 			attendance.stamp = reply.stamp;
 		}
 	}
@@ -172,12 +177,11 @@
 		});
 	}
 
-	/** Notes that a session failed to answer, so that nothing new goes there for a while. */
+	/** Notes that a session failed to answer, so that nothing new goes there for a while unless it is heard. */
 	doubt(session: string): void {
 		const attendance = this.attendances.get(session);
 		if (attendance) {
-			attendance.doubted = this.parts.clock.mono();
-			attendance.stage = stageOf(attendance, attendance.doubted);
+			attendance.doubtedUntil = this.parts.clock.mono() + doubtMs;
 		}
 	}
 
@@ -296,6 +300,7 @@
 			draining: request.draining,
 			version: request.version,
 			stage: 'live',
+			doubtedUntil: 0,
 		});
 		for (const report of request.places) {
 			this.seat(request, report, now);
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -2,27 +2,12 @@
 import test from 'ava';
 import {resultOf, results} from '../src/results.js';
 import {tokenHash} from '../src/standin/tables.js';
+import type {Cluster, Node, Reply} from './cluster.js';
 import {
-	Cluster, type Node, type Reply, type Shape,
-} from './cluster.js';
+	bodies, mostStarts, whole, withCluster,
+} from './scene.js';
 
-const bodies = (count: number, ms = 60) => Array.from({length: count}, (_, index) => ({ms, index}));
 const codeOf = (reply: Reply | undefined) => reply?.result;
-const whole = (reply: Reply | undefined, count: number) => reply?.status === 200 && reply.body.tasks?.length === count;
-
-async function withCluster(body: (cluster: Cluster) => Promise<void>, shape: Partial<Shape> = {}): Promise<void> {
-	const cluster = await Cluster.create({entries: 2, sidecars: ['zone-0', 'zone-1', 'zone-0'], ...shape});
-	try {
-		await body(cluster);
-	} finally {
-		await cluster.close();
-	}
-}
-
-function mostStarts({starts}: Cluster): number {
-	const ids = starts.map(({claim, task}) => `${claim}#${task}`);
-	return Math.max(0, ...ids.map(id => ids.filter(other => other === id).length));
-}
 
 /** Cuts what leads to a process off, or a process off from the platform. */
 function cutOff({proxy, store}: Node, side: 'peers' | 'store'): void {
--- a/test/promises.test.ts
+++ b/test/promises.test.ts
@@ -2,29 +2,10 @@
 import test from 'ava';
 import {request} from 'undici';
 import {results} from '../src/results.js';
-import {Cluster, type Reply} from './cluster.js';
-
-const zones = ['zone-0', 'zone-1', 'zone-0'];
-const bodies = (count: number, ms = 60) => Array.from({length: count}, (_, index) => ({ms, index}));
-
-async function withCluster(body: (cluster: Cluster) => Promise<void>, shape = {}): Promise<void> {
-	const cluster = await Cluster.create({entries: 2, sidecars: zones, ...shape});
-	try {
-		await body(cluster);
-	} finally {
-		await cluster.close();
-	}
-}
-
-function mostStarts(cluster: Cluster): number {
-	const counts = new Map<string, number>();
-	for (const {claim, task} of cluster.starts) {
-		const id = `${claim}#${task}`;
-		counts.set(id, (counts.get(id) ?? 0) + 1);
-	}
-
-	return Math.max(0, ...counts.values());
-}
+import type {Cluster, Reply} from './cluster.js';
+import {
+	bodies, mostStarts, whole, withCluster,
+} from './scene.js';
 
 /** Submits jobs to the entries that a balancer would choose until the signal aborts; resolves to all replies. */
 async function keepSubmitting(cluster: Cluster, signal: AbortSignal): Promise<Array<Reply | undefined>> {
@@ -42,8 +23,6 @@
 	return Promise.all(pending);
 }
 
-const whole = (reply: Reply | undefined, tasks: number) => reply?.result === 0 && reply.body.tasks?.length === tasks;
-
 test.serial('a job resubmitted to two entries at the same instant runs once and both get the whole answer', async t => {
 	await withCluster(async cluster => {
 		const replies = await Promise.all([...cluster.entries, ...cluster.entries].map(async entry => cluster.put(entry, 'twin', bodies(20))));
@@ -196,7 +175,7 @@
 		const got = await Promise.all(asked);
 		t.true(got.every(reply => reply !== undefined));
 		t.is(mostStarts(cluster), 1);
-		t.is(got.filter(reply => reply?.status === 200).length, 60);
+		t.is(got.filter(reply => reply?.status === 200).length, 60, `${JSON.stringify(got.filter(reply => reply?.status !== 200))}`);
 	});
 });
 
