Keep idle connections long and tell callers a short time

Since idle connections were kept 5 s, an entry that woke ran that timer first and closed a connection with a request in its buffer. Change: callers are told 5 s, connections are kept 72 s. A case for it.

--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -39,13 +39,15 @@
 /** Parts is what the callers' port is made of. */
 export type Parts = {clock: Clock; feed: Feed; jobs: Jobs; meters: Meters; maxBodyBytes: number; joined(): boolean; ready(): boolean};
 
-/** How long a connection without a request is kept, in milliseconds; callers are told, so that they end it sooner themselves. */
+/** How long callers are told that a connection without a request is kept, in milliseconds. */
 export const keepAliveMs = 5000;
+/** How long it is kept: far longer, so that a process that was stopped does not close it on a request that came meanwhile. */
+const idleMs = 72_000;
 
 /** Builds the callers' port: jobs, requests, health, metrics and the OpenAPI document. */
 export function buildFront(parts: Parts): FastifyInstance {
 	const app = fastify({
-		bodyLimit: parts.maxBodyBytes, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle', keepAliveTimeout: keepAliveMs,
+		bodyLimit: parts.maxBodyBytes, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle', keepAliveTimeout: idleMs,
 	});
 	app.removeAllContentTypeParsers();
 	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
@@ -60,6 +62,8 @@
 		if (parts.jobs.draining) {
 			// So that no caller sends its next request on a connection that is about to be closed.
 			void reply.header('connection', 'close');
+		} else {
+			void reply.headers({connection: 'keep-alive', 'keep-alive': `timeout=${keepAliveMs / 1000}`});
 		}
 	});
 	const front = new Front(parts);
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -171,6 +171,19 @@
 	}, {drainMs: 6000});
 });
 
+test.serial('a request that came on a kept connection while its entry was stopped is answered when it wakes', async t => {
+	await withCluster(async cluster => {
+		const [entry] = cluster.entries;
+		t.is((await cluster.post(entry!, 'again', {ms: 10}))?.status, 200);
+		entry!.child.kill('SIGSTOP');
+		await sleep(500);
+		const asked = cluster.post(entry!, 'again', {ms: 10}, {headers: {'sniperidge-deadline-ms': '30000'}});
+		await sleep(6500);
+		entry!.child.kill('SIGCONT');
+		t.is((await asked)?.status, 200, `${String(cluster.lastError)}`);
+	});
+});
+
 /** The refusals that a loaded cluster gives, each with what provokes it. */
 const refusals = ['badInput', 'noToken', 'noRoute', 'keyReused', 'overQuota', 'overloaded', 'deadline', 'storeUnavailable', 'draining', 'noPlace', 'neverFits', 'cancelledBefore'] as const;
 
