One reader of handovers, one maker of items

Cause: an object was read and parsed as a handover in two places, and a reply was turned into an item in two. Change: readHandover and writeHandover in sessions.ts, itemOf in exchange.ts. Conclusion: behaviour as before.

--- a/src/adapters/sessions.ts
+++ b/src/adapters/sessions.ts
@@ -1,5 +1,8 @@
+import {Buffer} from 'node:buffer';
 import type {Session} from '../decide/claim.js';
+import type {HandedTask} from '../decide/handover.js';
 import type {Clock} from '../ports/clock.js';
+import type {ObjectStore} from '../ports/objects.js';
 import type {Row, Table} from '../ports/table.js';
 
 /** How long after a failed write it is tried again, in milliseconds. */
@@ -67,7 +70,17 @@
 	return result?.kind === 'applied';
 }
 
-/** The object that a session's handover is stored under. */
-export function handoverKey(session: string): string {
+/** Writes what a session that stops hands over. Rejects with `StoreError`. */
+export async function writeHandover(objects: ObjectStore, session: string, tasks: readonly HandedTask[]): Promise<void> {
+	await objects.put(handoverKey(session), Buffer.from(JSON.stringify(tasks)));
+}
+
+/** Reads what a session handed over; nothing when it left no handover. Rejects with `StoreError`. */
+export async function readHandover(objects: ObjectStore, session: string): Promise<HandedTask[] | undefined> {
+	const object = await objects.get(handoverKey(session));
+	return object && JSON.parse(Buffer.from(object).toString()) as HandedTask[];
+}
+
+function handoverKey(session: string): string {
 	return `handover-${session}`;
 }
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,8 +1,6 @@
-import {Buffer} from 'node:buffer';
 import {create} from '@bufbuild/protobuf';
 import {CancelRequestSchema, type StartReply} from '../../gen/sniperidge/v1/peer_pb.js';
 import type {Load} from '../decide/admit.js';
-import type {Item} from '../decide/claim.js';
 import {handedEnd} from '../decide/handover.js';
 import {Estimate} from '../decide/estimate.js';
 import {
@@ -17,7 +15,9 @@
 import type {Peers} from '../ports/peer.js';
 import type {Random} from '../ports/random.js';
 import {results} from '../results.js';
-import {Exchange, type Counts, type Reply} from './exchange.js';
+import {
+	Exchange, itemOf, type Counts, type Reply,
+} from './exchange.js';
 import type {Feed} from './feed.js';
 import {
 	hinderedPauseMs, refusedPauseMs, type Roster, type Seat,
@@ -319,7 +319,7 @@
 
 		if (!loss) {
 			this.learn(task, seat, reply!);
-			run.end(index, {kind: 'done', item: itemOf(reply!, seat?.id ?? reply!.place?.name ?? '')});
+			run.end(index, {kind: 'done', item: itemOf(reply!, seat?.id)});
 			return;
 		}
 
@@ -421,9 +421,3 @@
 function declaredMs({work}: Run, index: number): number {
 	return work.bodies[index]?.expectMs ?? work.settings.expectMs;
 }
-
-function itemOf(reply: StartReply, place: string): Item {
-	return {
-		body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place, ranMs: reply.ranMs,
-	};
-}
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -2,7 +2,8 @@
 import {create} from '@bufbuild/protobuf';
 import {StartRequestSchema, type StartReply, type StartRequest} from '../../gen/sniperidge/v1/peer_pb.js';
 import {neverLeft} from '../adapters/peers.js';
-import {handoverKey} from '../adapters/sessions.js';
+import {readHandover} from '../adapters/sessions.js';
+import type {Item} from '../decide/claim.js';
 import type {HandedTask} from '../decide/handover.js';
 import type {Loss} from '../decide/retry.js';
 import type {Clock} from '../ports/clock.js';
@@ -171,8 +172,7 @@
 		}
 
 		try {
-			const object = await this.parts.objects.get(handoverKey(target.session));
-			const handed = object && (JSON.parse(Buffer.from(object).toString()) as HandedTask[]);
+			const handed = await readHandover(this.parts.objects, target.session);
 			const found = handed?.find(other => other.claim === claim && other.task === task.index);
 			if (found) {
 				return {loss: 'no-reply', detail: 'ended at a sidecar that has left', handed: found};
@@ -185,3 +185,10 @@
 		}
 	}
 }
+
+/** Returns a finished task's answer as it is stored and passed between entries. */
+export function itemOf(reply: StartReply, place = reply.place?.name ?? ''): Item {
+	return {
+		body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place, ranMs: reply.ranMs,
+	};
+}
--- a/src/entry/takeover.ts
+++ b/src/entry/takeover.ts
@@ -1,8 +1,7 @@
-import {Buffer} from 'node:buffer';
 import {create} from '@bufbuild/protobuf';
 import {CollectRequestSchema, type CollectReply, type StartReply} from '../../gen/sniperidge/v1/peer_pb.js';
 import {neverLeft} from '../adapters/peers.js';
-import {handoverKey} from '../adapters/sessions.js';
+import {readHandover} from '../adapters/sessions.js';
 import type {Store} from '../adapters/table.js';
 import {
 	couldHold, recover, type Claim, type EndedTask, type Recovery, type Report, type Session,
@@ -11,6 +10,7 @@
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
 import type {Row} from '../ports/table.js';
+import {itemOf} from './exchange.js';
 
 /** How long a session is asked at a takeover before it counts as unheard, and the pause between, in milliseconds. */
 const askMs = 2000;
@@ -41,7 +41,8 @@
 async function askSession(row: Row<Session>, key: string, claim: Claim, {store, peers, clock}: Parts): Promise<Report> {
 	const unheard: Report = {kind: 'unheard', session: row.key};
 	if (row.value.ended === 'graceful') {
-		return await readHandover(row.key, key, store) ?? unheard;
+		const handed = await readHandover(store, row.key);
+		return handed ? reportOfHanded(row.key, handed.filter(task => task.claim === key)) : unheard;
 	}
 
 	const request = create(CollectRequestSchema, {claim: key, epoch: claim.epoch, session: row.key});
@@ -75,19 +76,11 @@
 	}
 
 	return {
-		task, code, detail, item: {
-			body: Buffer.from(reply.body).toString('base64'), contentType: reply.contentType, place: reply.place?.name ?? '', ranMs: reply.ranMs,
-		},
+		task, code, detail, item: itemOf(reply),
 	};
 }
 
-async function readHandover(session: string, key: string, store: Store): Promise<Report | undefined> {
-	const object = await store.get(handoverKey(session));
-	if (!object) {
-		return undefined;
-	}
-
-	const handed = (JSON.parse(Buffer.from(object).toString()) as HandedTask[]).filter(task => task.claim === key);
+function reportOfHanded(session: string, handed: readonly HandedTask[]): Report {
 	return {
 		kind: 'heard', session, running: [], ended: handed.map(task => handedEnd(task)),
 	};
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {create} from '@bufbuild/protobuf';
 import type {Logger} from 'pino';
 import {systemClock, unlimited} from '../adapters/clock.js';
@@ -6,7 +5,7 @@
 import {openPeers, servePeers, type Server} from '../adapters/peers.js';
 import {systemRandom} from '../adapters/random.js';
 import {
-	endSession, findEntries, handoverKey, joinSession, readSession,
+	endSession, findEntries, joinSession, readSession, writeHandover,
 } from '../adapters/sessions.js';
 import {openStore, type Store} from '../adapters/table.js';
 import {GreetReplySchema, Sidecar as SidecarService} from '../../gen/sniperidge/v1/peer_pb.js';
@@ -232,7 +231,7 @@
 	private async leave(until: number): Promise<void> {
 		do {
 			try {
-				await this.store.put(handoverKey(this.session), Buffer.from(JSON.stringify(this.gate.handover())));
+				await writeHandover(this.store, this.session, this.gate.handover());
 				const row = await readSession(this.store, this.session);
 				if (row && this.gate.idle) {
 					await endSession(this.store, this.clock, row, 'graceful');
