Work out the live sessions when they change; derive a sidecar's stage

Cause: every commit of a claim, admission and placement walked all sessions that an entry ever saw, ended ones too, to count the live entries. A sidecar's stage was stored at each tick and derived beside it; 'since' was written and read by nothing but itself; candidates repeated the conditions of serving. Change: the feed keeps the live sessions by kind; the stage is derived where it is asked for; candidates are made of the serving seats; the third threshold of 16 s is the one of suspicion; a parameter that nobody gave. Conclusion: behaviour as before, but that counts of processes in force see a silence at once and not at the next tick.

--- a/src/decide/announce.ts
+++ b/src/decide/announce.ts
@@ -19,8 +19,8 @@
 export const subsetSize = 16;
 
 /** Returns the entries that a sidecar session announces itself to: all while they are few, else a stable choice by rendezvous. */
-export function subset(session: string, entries: readonly string[], size = subsetSize): readonly string[] {
-	return entries.length <= size ? entries : rank(session, entries).slice(0, size);
+export function subset(session: string, entries: readonly string[]): readonly string[] {
+	return entries.length <= subsetSize ? entries : rank(session, entries).slice(0, subsetSize);
 }
 
 /**
--- a/src/decide/member.ts
+++ b/src/decide/member.ts
@@ -1,5 +1,5 @@
-/** Presence is when a sidecar was last heard and since when it has been back. Monotonic milliseconds. */
-export type Presence = {heard: number; since: number};
+/** Presence is when a sidecar was last heard, in monotonic milliseconds. */
+export type Presence = {heard: number};
 
 /** Stage is how far a sidecar is trusted: live, suspected (no new work) or gone (removed). */
 export type Stage = 'live' | 'suspect' | 'gone';
@@ -8,9 +8,7 @@
 const suspectMs = 16_000;
 /** Silence after which a sidecar is removed. */
 const goneMs = 20_000;
-/** Silence after which a session counts as missed where it should be heard. */
-export const missedMs = 16_000;
-/** How long a session is missed before it is written as lost, by whoever notices. */
+/** How long a session that should be heard is not live before it is written as lost, by whoever notices. */
 export const lostMs = 15_000;
 /** How long a returned place takes to reach its full slots. */
 const rampMs = 2000;
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -57,7 +57,7 @@
 
 		const {feed, meter, dispatch} = this.parts;
 		const {member, settings} = submission;
-		const quota = meter.quota(member, feed.config.tables.members.get(member)?.value, Math.max(1, feed.entries().length));
+		const quota = meter.quota(member, feed.config.tables.members.get(member)?.value, feed.entryCount);
 		const admission = judgeAdmission(dispatch.load(settings.pool), demand, quota);
 		if (admission.kind === 'refuse') {
 			return {code: admission.code, retryMs: admission.retryMs};
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -138,7 +138,7 @@
 			rate += own / this.slowness(seat);
 		}
 
-		const share = 1 / Math.max(1, this.parts.feed.entries().length);
+		const share = 1 / this.parts.feed.entryCount;
 		return {
 			queued: line.queue.size + line.reserved,
 			queueLimit: this.parts.feed.config.tables.pools.get(pool)?.value.queue ?? 0,
@@ -231,7 +231,6 @@
 			return undefined;
 		}
 
-		const entries = Math.max(1, this.parts.feed.entries().length);
 		const most = Math.min(line.queue.size, lookahead);
 		for (let ahead = 0; ahead < most; ahead++) {
 			const choice = this.choose(candidates, task, line, now);
@@ -240,7 +239,7 @@
 			}
 
 			// The other entries have as many waiting for the same place.
-			candidates.find(({id}) => id === choice.id)!.reserved += entries;
+			candidates.find(({id}) => id === choice.id)!.reserved += this.parts.feed.entryCount;
 		}
 
 		return undefined;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,6 +15,7 @@
 import {subsetSize} from '../decide/announce.js';
 import type {Session} from '../decide/claim.js';
 import {acksNeeded} from '../decide/confirm.js';
+import {stageOf} from '../decide/member.js';
 import {rendezvous} from '../decide/rendezvous.js';
 import type {Clock} from '../ports/clock.js';
 import type {Peers} from '../ports/peer.js';
@@ -90,7 +91,7 @@
 		const {random} = this;
 		this.store = openStore(settings.store);
 		const {store} = this;
-		this.batch = Batch.create(store, clock, () => this.feed.entries().length);
+		this.batch = Batch.create(store, clock, () => this.feed.entryCount);
 		const {batch} = this;
 		this.feed = Feed.create(store, clock, config => {
 			log.info({version: config.version}, 'configuration in force');
@@ -408,7 +409,7 @@
 				session,
 				zone: attendance.zone,
 				address: attendance.address,
-				stage: attendance.stage,
+				stage: stageOf(attendance, now),
 				draining: attendance.draining,
 				version: attendance.version,
 				silentMs: Math.round(now - attendance.heard),
--- a/src/entry/feed.ts
+++ b/src/entry/feed.ts
@@ -6,6 +6,8 @@
 /** How often the tables are read, in milliseconds. */
 const pollMs = 500;
 
+type Live = Readonly<Record<Session['kind'], ReadonlyArray<Row<Session>>>>;
+
 /** Feed follows the configuration and the sessions in the platform's table. */
 export class Feed {
 	static create(table: Table, clock: Clock, changed: (config: Config) => void): Feed {
@@ -21,6 +23,8 @@
 	misses = 0;
 	/** The version of the newest change to the sessions. */
 	sessionsVersion = 0;
+	/** The sessions that have not ended, by kind; worked out when sessions change, since every placement asks. */
+	private live: Live = {entry: [], sidecar: []};
 	/** Monotonic milliseconds until which a change may be written that this entry was told of. */
 	private changingUntil = Number.NEGATIVE_INFINITY;
 	private readAt = Number.NEGATIVE_INFINITY;
@@ -73,14 +77,19 @@
 		}
 	}
 
-	/** The addresses of the entries whose sessions have not ended. */
-	entries(): Array<Row<Session>> {
-		return this.live('entry');
+	/** The entries whose sessions have not ended. */
+	entries(): ReadonlyArray<Row<Session>> {
+		return this.live.entry;
+	}
+
+	/** The number of live entries that share the load; this one counts also before its row is read. */
+	get entryCount(): number {
+		return Math.max(1, this.live.entry.length);
 	}
 
 	/** The sidecars whose sessions have not ended. */
-	sidecars(): Array<Row<Session>> {
-		return this.live('sidecar');
+	sidecars(): ReadonlyArray<Row<Session>> {
+		return this.live.sidecar;
 	}
 
 	/** The live sidecar sessions of a zone. */
@@ -88,7 +97,7 @@
 		return this.sidecars().filter(row => row.value.zone === zone).map(row => row.key);
 	}
 
-	private live(kind: Session['kind']): Array<Row<Session>> {
+	private liveOf(kind: Session['kind']): Array<Row<Session>> {
 		return [...this.sessions.values()].filter(({value}) => value.kind === kind && !value.ended);
 	}
 
@@ -108,11 +117,14 @@
 	}
 
 	private takeRows(rows: readonly Row[]): void {
-		for (const row of rows) {
-			if (row.table === 'sessions') {
-				this.sessions.set(row.key, row as Row<Session>);
-				this.sessionsVersion = Math.max(this.sessionsVersion, row.version);
-			}
+		const sessions = rows.filter(row => row.table === 'sessions') as Array<Row<Session>>;
+		for (const row of sessions) {
+			this.sessions.set(row.key, row);
+			this.sessionsVersion = Math.max(this.sessionsVersion, row.version);
+		}
+
+		if (sessions.length > 0) {
+			this.live = {entry: this.liveOf('entry'), sidecar: this.liveOf('sidecar')};
 		}
 
 		const changes = rows.filter(row => row.table === 'config');
--- a/src/entry/roster.ts
+++ b/src/entry/roster.ts
@@ -8,7 +8,7 @@
 	healthy, observe, probe, standingOf, type Health,
 } from '../decide/eject.js';
 import {
-	lostMs, missedMs, stageOf, type Presence, type Stage,
+	lostMs, stageOf, type Presence,
 } from '../decide/member.js';
 import {shareOf, type Candidate} from '../decide/place.js';
 import type {Clock} from '../ports/clock.js';
@@ -38,7 +38,6 @@
 	zone: string;
 	draining: boolean;
 	version: number;
-	stage: Stage;
 	/** The sidecar's clock when it last spoke, to be echoed. */
 	stamp: number;
 	/** Monotonic milliseconds before which nothing new goes there because it failed to answer. */
@@ -105,15 +104,9 @@
 	/** Lists the places of a pool that may get a task of this size, as candidates for the choice. */
 	candidates(pool: string, size: TaskSize, slowness: (seat: Seat) => number): Candidate[] {
 		const now = this.parts.clock.mono();
-		const {config} = this.parts.feed;
-		const candidates: Candidate[] = [];
-		for (const seat of this.seats.values()) {
-			if (!seat.report.pools.includes(pool) || !config.zoneIn(seat.zone) || !config.upstreamIn(seat.id) || !this.serves(seat)) {
-				continue;
-			}
-
+		return this.serving(pool).map(seat => {
 			const running = this.runningAt(seat);
-			candidates.push({
+			return {
 				id: seat.id,
 				zone: seat.zone,
 				slots: seat.report.kind === 'worker' ? running + roomFor(seat, size) : seat.report.slots,
@@ -123,10 +116,8 @@
 				standing: standingOf(seat.health, now),
 				returned: seat.returned,
 				notBefore: Math.max(seat.notBefore, this.attendances.get(seat.session)!.doubtedUntil),
-			});
-		}
-
-		return candidates;
+			};
+		});
 	}
 
 	/** The seats of a pool that are in service, whether free or not. */
@@ -216,10 +207,9 @@
 	sweep(): string[] {
 		const now = this.parts.clock.mono();
 		for (const [session, attendance] of this.attendances) {
-			attendance.stage = stageOf(attendance, now);
 			if (this.gone(session)) {
 				this.remove(session);
-			} else if (attendance.stage === 'gone') {
+			} else if (stageOf(attendance, now) === 'gone') {
 				this.unseat(session);
 			}
 		}
@@ -229,14 +219,15 @@
 
 	/** How many sidecars have this configuration in force, of how many. */
 	inForce(version: number): {inForce: number; known: number} {
-		const live = [...this.attendances.values()].filter(attendance => attendance.stage === 'live');
+		const now = this.parts.clock.mono();
+		const live = [...this.attendances.values()].filter(attendance => stageOf(attendance, now) === 'live');
 		return {inForce: live.filter(attendance => attendance.version >= version).length, known: live.length};
 	}
 
 	/** Silence counts from when it was noticed that a session should be heard here and is not. */
 	private lost(now: number): string[] {
 		const {feed} = this.parts;
-		const silent = feed.sidecars().map(row => row.key).filter(session => now - (this.attendances.get(session)?.heard ?? Number.NEGATIVE_INFINITY) > missedMs && this.mine(session));
+		const silent = feed.sidecars().map(row => row.key).filter(session => !this.live(session, now) && this.mine(session));
 		const missed = new Map(silent.map(session => [session, this.missed.get(session) ?? now]));
 		this.missed = missed;
 		return silent.filter(session => now - missed.get(session)! > lostMs);
@@ -284,22 +275,23 @@
 
 	private serves(seat: Seat): boolean {
 		const attendance = this.attendances.get(seat.session);
-		return attendance !== undefined && !attendance.draining && stageOf(attendance, this.parts.clock.mono()) === 'live';
+		return attendance !== undefined && !attendance.draining && this.live(seat.session, this.parts.clock.mono());
+	}
+
+	private live(session: string, now: number): boolean {
+		const attendance = this.attendances.get(session);
+		return attendance !== undefined && stageOf(attendance, now) === 'live';
 	}
 
 	private attend(request: BeatRequest): void {
 		const now = this.parts.clock.mono();
-		const known = this.attendances.get(request.session);
-		const since = known?.stage === 'live' ? known.since : now;
 		this.attendances.set(request.session, {
 			heard: now,
-			since,
 			stamp: request.stamp,
 			address: request.address,
 			zone: request.zone,
 			draining: request.draining,
 			version: request.version,
-			stage: 'live',
 			doubtedUntil: 0,
 		});
 		for (const report of request.places) {
