One record of each entry heard; ask of a start only what can hinder it

Cause: beats kept three maps by entry beside the list of those followed, one of them cleared only for entries that had confirmed, and a second copy of a bound. The last check before a start worked out whether the place is free, which it does not use and which packs a worker. Change: a map of hearings is what is followed; the bound is that of announce.ts; Standing is the part of the conditions that hindrance needs; releasing a keyed claim is forgetting it but for its key.

--- a/src/decide/announce.ts
+++ b/src/decide/announce.ts
@@ -1,6 +1,9 @@
 import {rank} from './rendezvous.js';
 
-/** Hearing is when an entry was last heard and last tried, in monotonic milliseconds. */
+/**
+ * Hearing is when an entry last heard of this sidecar, which is the send time of what it answered or
+ * echoed, and when it was last tried, in monotonic milliseconds.
+ */
 export type Hearing = {entry: string; heard: number; tried: number};
 
 /** Need is why announcements are made: to stay known, or to have a fresh confirmation for what waits. */
@@ -11,7 +14,7 @@
 /** Some entry is spoken to when all have been silent for so long, so that changes are heard of, in milliseconds. */
 const anyMs = 4000;
 /** What a fresh confirmation may be old when one is needed, in milliseconds. */
-const freshMs = 1200;
+export const freshMs = 1200;
 /** An entry that does not answer is tried again no sooner, in milliseconds. */
 const againMs = 1000;
 
--- a/src/decide/gate.ts
+++ b/src/decide/gate.ts
@@ -19,13 +19,17 @@
 /** Ask is a request to start a task. */
 export type Ask = {task: number; epoch: number; attempt: number};
 
-/** Conditions are what else must hold at the moment of a start. */
-export type Conditions = {
+/** Standing is what must hold for any start at a place. */
+export type Standing = {
 	draining: boolean;
 	zoneIn: boolean;
 	upstreamIn: boolean;
 	/** Whether the configuration was confirmed lately enough. */
 	confirmed: boolean;
+};
+
+/** Conditions are what else must hold at the moment of a start. */
+export type Conditions = Standing & {
 	/** Whether the place could begin the task now. */
 	free: boolean;
 	/** Whether the place's queue has room. */
@@ -88,7 +92,7 @@
 }
 
 /** Returns the code of what forbids any start now, if anything does. It is asked again when a queued task's turn comes. */
-export function hindrance(conditions: Pick<Conditions, 'draining' | 'zoneIn' | 'upstreamIn' | 'confirmed'>): number | undefined {
+export function hindrance(conditions: Standing): number | undefined {
 	if (conditions.draining) {
 		return results.sidecarDraining.code;
 	}
--- a/src/sidecar/beat.ts
+++ b/src/sidecar/beat.ts
@@ -3,7 +3,9 @@
 	BeatRequestSchema, type BeatReply, type Echo, type Place,
 } from '../../gen/sniperidge/v1/peer_pb.js';
 import {configOf} from '../adapters/snapshot.js';
-import {due, subset, type Need} from '../decide/announce.js';
+import {
+	due, freshMs, subset, type Hearing, type Need,
+} from '../decide/announce.js';
 import {isConfirmed, type Confirmation} from '../decide/confirm.js';
 import {Config} from '../decide/config.js';
 import type {Clock} from '../ports/clock.js';
@@ -18,8 +20,6 @@
 const outageMs = 5000;
 /** The oldest stamp that may be echoed, in milliseconds: over longer times clocks drift apart. */
 const stampMs = 60_000;
-/** The age from which a confirmation is renewed while tasks wait, in milliseconds. */
-const freshMs = 1200;
 
 /** Announcement is what a sidecar says of itself. */
 export type Announcement = {session: string; address: string; zone: string; draining: boolean; places: Place[]};
@@ -61,12 +61,10 @@
 	config = Config.empty;
 	neighbours: readonly string[] = [];
 	private readonly confirmations = new Map<string, Confirmation>();
-	/** When each entry last learned of this sidecar: the send time of what it answered or echoed. */
-	private readonly spoken = new Map<string, number>();
-	private readonly tried = new Map<string, number>();
-	/** The entries that there are, and those of them that this sidecar announces itself to. */
+	/** The entries that there are. */
 	private known: readonly string[];
-	private following: readonly string[];
+	/** Those of them that this sidecar announces itself to. */
+	private hearings: ReadonlyMap<string, Hearing>;
 	private running = new AbortController();
 	private outageUntil = Number.NEGATIVE_INFINITY;
 	private fetching = 0;
@@ -74,14 +72,17 @@
 
 	private constructor(private readonly parts: Parts) {
 		this.known = parts.entries;
-		this.following = parts.entries;
+		this.hearings = new Map(parts.entries.map(entry => [entry, unheard(entry)]));
 	}
 
 	/** Begins to announce. */
 	start(): void {
 		this.running = new AbortController();
-		this.tried.clear();
 		this.follow(this.known);
+		for (const hearing of this.hearings.values()) {
+			hearing.tried = Number.NEGATIVE_INFINITY;
+		}
+
 		void this.loop(this.running.signal);
 	}
 
@@ -101,11 +102,11 @@
 
 	/** Announces to an entry that has just joined, at once. */
 	greet(entry: string): void {
-		if (!this.following.includes(entry)) {
+		if (!this.hearings.has(entry)) {
 			this.follow([...this.known, entry]);
 		}
 
-		if (this.following.includes(entry) && !this.running.signal.aborted) {
+		if (this.hearings.has(entry) && !this.running.signal.aborted) {
 			void this.beat(entry);
 		}
 	}
@@ -113,12 +114,12 @@
 	/** Whether any entry was heard lately. */
 	get heard(): boolean {
 		const now = this.parts.clock.mono();
-		return [...this.spoken.values()].some(spoken => now - spoken < aloneMs);
+		return [...this.hearings.values()].some(({heard}) => now - heard < aloneMs);
 	}
 
 	/** Whether a task may start now under the configuration that is in force here. */
 	confirmed(): boolean {
-		return isConfirmed(this.confirmations, this.following.length, this.config.version, this.parts.clock.mono());
+		return isConfirmed(this.confirmations, this.hearings.size, this.config.version, this.parts.clock.mono());
 	}
 
 	/**
@@ -129,7 +130,7 @@
 	take(echo: Echo): void {
 		const now = this.parts.clock.mono();
 		const asOf = echo.stamp - echo.ageMs;
-		if (!this.following.includes(echo.entry) || asOf > now || now - echo.stamp > stampMs) {
+		if (!this.hearings.has(echo.entry) || asOf > now || now - echo.stamp > stampMs) {
 			return;
 		}
 
@@ -151,7 +152,7 @@
 
 	/** Announces once more to every entry, now, and waits for the replies. */
 	async flush(): Promise<void> {
-		await Promise.all(this.following.map(async entry => this.beat(entry)));
+		await Promise.all([...this.hearings.keys()].map(async entry => this.beat(entry)));
 	}
 
 	/** Stops announcing. */
@@ -162,12 +163,10 @@
 	private follow(entries: readonly string[]): void {
 		const {session} = this.parts.announce();
 		this.known = entries;
-		this.following = subset(session, entries);
+		this.hearings = new Map(subset(session, entries).map(entry => [entry, this.hearings.get(entry) ?? unheard(entry)]));
 		for (const entry of this.confirmations.keys()) {
-			if (!this.following.includes(entry)) {
+			if (!this.hearings.has(entry)) {
 				this.confirmations.delete(entry);
-				this.spoken.delete(entry);
-				this.tried.delete(entry);
 			}
 		}
 	}
@@ -175,12 +174,7 @@
 	private async loop(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const now = this.parts.clock.mono();
-			const hearings = this.following.map(entry => ({
-				entry,
-				heard: this.spoken.get(entry) ?? Number.NEGATIVE_INFINITY,
-				tried: this.tried.get(entry) ?? Number.NEGATIVE_INFINITY,
-			}));
-			for (const entry of due(hearings, this.need(now), now)) {
+			for (const entry of due([...this.hearings.values()], this.need(now), now)) {
 				void this.beat(entry);
 			}
 
@@ -195,7 +189,11 @@
 
 	private async beat(entry: string): Promise<void> {
 		const stamp = this.parts.clock.mono();
-		this.tried.set(entry, stamp);
+		const hearing = this.hearings.get(entry);
+		if (hearing) {
+			hearing.tried = stamp;
+		}
+
 		const request = create(BeatRequestSchema, {
 			...this.parts.announce(), stamp, version: this.config.version, sessionsVersion: this.sessionsVersion,
 		});
@@ -212,7 +210,7 @@
 			return;
 		}
 
-		if (!this.following.includes(entry)) {
+		if (!this.hearings.has(entry)) {
 			return;
 		}
 
@@ -235,7 +233,8 @@
 	/** Each confirmation holds by itself, whatever came before or after it; the most recent one is kept. */
 	private confirm(entry: string, confirmation: Confirmation): void {
 		const known = this.confirmations.get(entry);
-		this.spoken.set(entry, Math.max(confirmation.heard, this.spoken.get(entry) ?? 0));
+		const hearing = this.hearings.get(entry)!;
+		hearing.heard = Math.max(confirmation.heard, hearing.heard);
 		if (!known || confirmation.asOf > known.asOf || confirmation.heard >= known.heard) {
 			this.confirmations.set(entry, confirmation);
 		}
@@ -245,3 +244,7 @@
 		}
 	}
 }
+
+function unheard(entry: string): Hearing {
+	return {entry, heard: Number.NEGATIVE_INFINITY, tried: Number.NEGATIVE_INFINITY};
+}
--- a/src/sidecar/gate.ts
+++ b/src/sidecar/gate.ts
@@ -14,7 +14,7 @@
 	type Place as PlaceReport,
 } from '../../gen/sniperidge/v1/peer_pb.js';
 import {
-	hindrance, judgeStart, raiseEpoch, setTask, type Conditions,
+	hindrance, judgeStart, raiseEpoch, setTask, type Conditions, type Standing,
 } from '../decide/gate.js';
 import type {Config} from '../decide/config.js';
 import {learnPace, type Pace} from '../decide/estimate.js';
@@ -164,7 +164,7 @@
 	review(): void {
 		for (const queue of this.queues.values()) {
 			for (const live of queue) {
-				const code = hindrance(this.conditions(live.place, live.request));
+				const code = hindrance(this.standing(live.place));
 				if (code !== undefined && code !== results.unconfirmed.code) {
 					this.withdraw(this.records.held(live.request.claim, live.request.keyed), live.request.task, live.request.epoch, code);
 				}
@@ -211,13 +211,20 @@
 		return report;
 	}
 
-	private conditions(place: Place, request: StartRequest): Conditions {
+	/** What holds for any start at a place now. */
+	private standing(place: Place): Standing {
 		const config = this.around.config();
 		return {
 			draining: this.draining,
 			zoneIn: config.zoneIn(this.settings.zone),
 			upstreamIn: config.upstreamIn(place.name),
 			confirmed: this.around.confirmed(),
+		};
+	}
+
+	private conditions(place: Place, request: StartRequest): Conditions {
+		return {
+			...this.standing(place),
 			free: this.queuedAt(place.name) === 0 && place.free(runOf(request)),
 			room: this.queuedAt(place.name) < this.settings.queueLimit,
 		};
@@ -246,7 +253,7 @@
 		const {request, place} = live;
 		let hindered: number | undefined;
 		const allowed = () => {
-			hindered = hindrance({...this.conditions(place, request), draining: false});
+			hindered = hindrance({...this.standing(place), draining: false});
 			return hindered === undefined;
 		};
 
@@ -308,7 +315,7 @@
 		}
 
 		const held = this.records.held(live.request.claim, live.request.keyed);
-		const code = hindrance(this.conditions(place, live.request));
+		const code = hindrance(this.standing(place));
 		if (code === undefined) {
 			this.queues.set(place.name, queue.slice(1));
 			this.begin(held, live);
--- a/src/sidecar/records.ts
+++ b/src/sidecar/records.ts
@@ -80,12 +80,14 @@
 	release(claim: string): void {
 		const held = this.claims.get(claim);
 		if (held && [...held.live.values()].every(live => live.ended)) {
-			this.dropAnswers(held);
-			held.record = {...held.record, released: true, tasks: new Map()};
 			if (held.keyed) {
-				this.claims.delete(claim);
+				this.forget(claim, held);
 				this.released.add(claim);
+				return;
 			}
+
+			this.dropAnswers(held);
+			held.record = {...held.record, released: true, tasks: new Map()};
 		}
 	}
 
