A read during which the process was stopped is no sign of an outage

Two failed reads counted as an outage, the first of them allowed for a stop; with one read that really failed before the stop, the one under way at the stop made two. Change: the feed does not count a read that failed later than its timeout allows, in place of the allowance. Four cases of the feed.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -93,9 +93,11 @@
 		const {store} = this;
 		this.batch = Batch.create(store, clock, () => this.feed.entryCount);
 		const {batch} = this;
-		this.feed = Feed.create(store, clock, config => {
-			log.info({version: config.version}, 'configuration in force');
-			this.dispatch.pump(config.tables.pools.keys());
+		this.feed = Feed.create({
+			table: store, clock, timeoutMs: settings.store.timeoutMs, changed: config => {
+				log.info({version: config.version}, 'configuration in force');
+				this.dispatch.pump(config.tables.pools.keys());
+			},
 		});
 		const {feed} = this;
 		this.dispatch = Dispatch.create({
--- a/src/entry/execute.ts
+++ b/src/entry/execute.ts
@@ -141,7 +141,7 @@
 
 	/**
 	 * Waits for a write for a while, and for longer until two reads of the table in a row have failed: a
-	 * process that was stopped must not take its pause for an outage, also when a read was under way.
+	 * process that was stopped must not take its pause for an outage.
 	 */
 	private async waitWritten(closing: Promise<Closed>): Promise<Closed | undefined> {
 		const {clock, feed} = this.parts;
--- a/src/entry/feed.ts
+++ b/src/entry/feed.ts
@@ -6,12 +6,18 @@
 /** How often the tables are read, in milliseconds. */
 const pollMs = 500;
 
+/** How much later than its timeout a read may fail before this process counts as stopped meanwhile, in milliseconds. */
+const slackMs = 500;
+
+/** Parts is what a feed is made of: `timeoutMs` is how long a read of the table may take, and `changed` is told of each newer configuration. */
+export type Parts = {table: Table; clock: Clock; timeoutMs: number; changed: (config: Config) => void};
+
 type Live = Readonly<Record<Session['kind'], ReadonlyArray<Row<Session>>>>;
 
 /** Feed follows the configuration and the sessions in the platform's table. */
 export class Feed {
-	static create(table: Table, clock: Clock, changed: (config: Config) => void): Feed {
-		return new Feed(table, clock, changed);
+	static create(parts: Parts): Feed {
+		return new Feed(parts);
 	}
 
 	config = Config.empty;
@@ -19,7 +25,7 @@
 	readonly sessions = new Map<string, Row<Session>>();
 	/** Whether the last read brought an answer. */
 	readable = false;
-	/** The reads in a row that brought no answer; the first may only mean that this process was stopped meanwhile. */
+	/** The reads in a row that brought no answer, but for those during which this process was stopped. */
 	misses = 0;
 	/** The version of the newest change to the sessions. */
 	sessionsVersion = 0;
@@ -31,11 +37,11 @@
 	private after = 0;
 	private reading: Promise<void> | undefined;
 
-	private constructor(private readonly table: Table, private readonly clock: Clock, private readonly changed: (config: Config) => void) {}
+	private constructor(private readonly parts: Parts) {}
 
 	/** Milliseconds since the moment as of which the configuration was read. */
 	get ageMs(): number {
-		return this.clock.mono() - this.readAt;
+		return this.parts.clock.mono() - this.readAt;
 	}
 
 	/** How long before a moment of this process's monotonic clock the configuration was read; below zero if after. */
@@ -50,15 +56,15 @@
 
 	/** Notes that a change may be written within so many milliseconds from now. */
 	prepare(withinMs: number): void {
-		this.changingUntil = Math.max(this.changingUntil, this.clock.mono() + withinMs);
+		this.changingUntil = Math.max(this.changingUntil, this.parts.clock.mono() + withinMs);
 	}
 
 	/** Reads again and again until `signal` aborts. */
 	async follow(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const due = this.clock.mono() + pollMs;
+			const due = this.parts.clock.mono() + pollMs;
 			await this.refresh();
-			await this.clock.sleep(Math.max(50, due - this.clock.mono()), signal);
+			await this.parts.clock.sleep(Math.max(50, due - this.parts.clock.mono()), signal);
 		}
 	}
 
@@ -73,7 +79,7 @@
 	take(config: Config): void {
 		if (config.version > this.config.version) {
 			this.config = config;
-			this.changed(config);
+			this.parts.changed(config);
 		}
 	}
 
@@ -102,9 +108,9 @@
 	}
 
 	private async read(): Promise<void> {
-		const at = this.clock.mono();
+		const at = this.parts.clock.mono();
 		try {
-			const listing = await this.table.list({tables: ['config', 'sessions'], after: this.after});
+			const listing = await this.parts.table.list({tables: ['config', 'sessions'], after: this.after});
 			this.after = listing.version;
 			this.readAt = at;
 			this.readable = true;
@@ -112,7 +118,8 @@
 			this.takeRows(listing.rows);
 		} catch {
 			this.readable = false;
-			this.misses++;
+			const stopped = this.parts.clock.mono() - at > this.parts.timeoutMs + slackMs;
+			this.misses += stopped ? 0 : 1;
 		}
 	}
 
--- /dev/null
+++ b/test/feed.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import {Feed} from '../src/entry/feed.js';
+import {StoreError, type Table} from '../src/ports/table.js';
+
+const timeoutMs = 1500;
+
+/** The misses after reads that failed after so many milliseconds each. */
+async function missesAfter(delays: readonly number[]): Promise<number> {
+	let now = 0;
+	const left = [...delays];
+	const table = {
+		async list() {
+			now += left.shift()!;
+			throw StoreError.create('no answer', true);
+		},
+	} as unknown as Table;
+	const feed = Feed.create({
+		table, clock: {now: () => now, mono: () => now, sleep: async () => undefined}, timeoutMs, changed: () => undefined,
+	});
+	while (left.length > 0) {
+		await feed.refresh();
+	}
+
+	return feed.misses;
+}
+
+for (const [title, delays, misses] of [
+	['refused reads are misses', [1, 1], 2],
+	['reads that ran into their timeout are misses', [1500, 1510], 2],
+	['a read during which the process was stopped is none', [1500, 6000], 1],
+	['also when several fail so', [6000, 4000], 0],
+] as const) {
+	test(`feed: ${title}`, async t => {
+		t.is(await missesAfter(delays), misses);
+	});
+}
--- a/test/outages.test.ts
+++ b/test/outages.test.ts
@@ -111,29 +111,32 @@
 	});
 });
 
-test.serial('an owner stopped before it wrote its outcome tells what was written by the one that took over', async t => {
-	await withCluster(async cluster => {
-		const [owner, other] = cluster.entries;
-		const asked = cluster.put(owner!, 'stopped', bodies(4, 1500), {deadlineMs: 30_000});
-		await until(() => cluster.starts.length === 4);
-		owner!.store.stall('up');
-		await until(() => cluster.starts.every(({ended}) => ended === 'done'));
-		await sleep(100);
-		owner!.child.kill('SIGSTOP');
-		for (const sidecar of cluster.sidecars) {
-			await cluster.kill(sidecar);
-		}
-
-		const taken = await cluster.put(other!, 'stopped', bodies(4, 1500), {deadlineMs: 20_000});
-		await sleep(2500);
-		owner!.store.release();
-		owner!.child.kill('SIGCONT');
-		t.is(codeOf(taken), results.unknown.code);
-		t.is(codeOf(await asked), results.unknown.code);
-		t.deepEqual(cluster.platform.rows('usage'), []);
-		t.is(mostStarts(cluster), 1);
+/** How long the store is away from the owner before it is stopped: as long as its tasks run. */
+for (const [title, ms] of [['at once', 1500], ['after a read of the table has failed too', 2400]] as const) {
+	test.serial(`an owner stopped before it wrote its outcome tells what was written by the one that took over, ${title}`, async t => {
+		await withCluster(async cluster => {
+			const [owner, other] = cluster.entries;
+			const asked = cluster.put(owner!, 'stopped', bodies(4, ms), {deadlineMs: 30_000});
+			await until(() => cluster.starts.length === 4);
+			owner!.store.stall('up');
+			await until(() => cluster.starts.every(({ended}) => ended === 'done'));
+			await sleep(100);
+			owner!.child.kill('SIGSTOP');
+			for (const sidecar of cluster.sidecars) {
+				await cluster.kill(sidecar);
+			}
+
+			const taken = await cluster.put(other!, 'stopped', bodies(4, ms), {deadlineMs: 20_000});
+			await sleep(2500);
+			owner!.store.release();
+			owner!.child.kill('SIGCONT');
+			t.is(codeOf(taken), results.unknown.code);
+			t.is(codeOf(await asked), results.unknown.code);
+			t.deepEqual(cluster.platform.rows('usage'), []);
+			t.is(mostStarts(cluster), 1);
+		});
 	});
-});
+}
 
 test.serial('a job whose owner dies, and then the one that is taking it over, is finished by a third without a second start', async t => {
 	await withCluster(async cluster => {
