A stopping entry resets no waiting caller, and an operator's connection holds no stop up

The listener was closed in whatever turn the drain came to it. The kernel had then taken connections that the process had not accepted (libuv accepts one a turn), and reset them. The callers' port had no connection left; an operator's request that was under way when the operators' port closed was answered with keep-alive, and the port then waited for the keep-alive time of 72 s. All the while callers dial a port that is closed and free for any process that asks for one.

Change: the listener closes only after a turn that accepted nothing; the operators' port says connection: close once the entry stops. Each has a test that failed before (ECONNRESET; keep-alive and a close that did not come).

Conclusion: both faults are real and mended.

--- a/src/entry/admin.ts
+++ b/src/entry/admin.ts
@@ -41,6 +41,7 @@
 	/** Hands the newest configuration to the other entries and resolves to where a version is in force. */
 	spread(version: number): Promise<InForce>;
 	status(): unknown;
+	stopping(): boolean;
 };
 
 type Change = {table: ConfigTable; key: string; after: unknown; checks: Check[]; expected: number};
@@ -70,6 +71,12 @@
 	app.addHook('onRequest', async request => {
 		checkToken(request, parts.token);
 	});
+	app.addHook('onSend', async (_request, reply) => {
+		if (parts.stopping()) {
+			// A connection that is kept would hold the stop up until it has been idle for over a minute.
+			void reply.header('connection', 'close');
+		}
+	});
 	const operator = new Operator(parts);
 	for (const table of tables) {
 		app.get(`/v1/admin/${table}`, async () => operator.list(table));
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,4 +1,4 @@
-import net, {type AddressInfo} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {create} from '@bufbuild/protobuf';
 import type {FastifyInstance} from 'fastify';
 import type {Logger} from 'pino';
@@ -28,6 +28,7 @@
 import {buildFront, keepAliveMs} from './front.js';
 import {Jobs} from './jobs.js';
 import {Ledger} from './ledger.js';
+import {closeListener, connections} from './listener.js';
 import {Meters} from './metrics.js';
 import {Roster} from './roster.js';
 import {Meter} from './usage.js';
@@ -134,6 +135,7 @@
 			prepare: async withinMs => this.prepare(withinMs),
 			spread: async version => this.spread(version),
 			status: () => this.status(),
+			stopping: () => this.stopped !== undefined,
 		});
 	}
 
@@ -201,18 +203,12 @@
 
 	/**
 	 * Takes no more connections and waits until callers have ended theirs. One that is closed while it is
-	 * idle may have a request on the way; what comes is answered, and its connection closed with it. The
-	 * listener is closed by the method of `net`, since that of `http` closes idle connections with it.
+	 * idle may have a request on the way; what comes is answered, and its connection closed with it.
 	 */
 	private async emptied(until: number): Promise<void> {
 		const {server} = this.front;
-		net.Server.prototype.close.call(server);
-		const count = async () => new Promise<number>(resolve => {
-			server.getConnections((error, open) => {
-				resolve(error ? 0 : open);
-			});
-		});
-		while (this.clock.mono() < until && (await count() > 0 || !this.jobs.idle)) {
+		await closeListener(server, () => this.clock.mono() >= until);
+		while (this.clock.mono() < until && (await connections(server) > 0 || !this.jobs.idle)) {
 			await this.clock.sleep(20);
 		}
 	}
