A stopping entry admits what should end in its time

Change: the schedule is told when it has to be done, and refuses as `stopping` only what should not end by then (the time it may wait and twice its longest task). With it, a job's expected wait counts only the work that goes before it, not what goes after. Whether more urgent jobs go first can be weighed (off).

--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -66,7 +66,8 @@
 		| {kind: 'refused'; place: string; ref: number; why: Hindrance}
 		| {kind: 'ended'; place: string; ref: number; outcome: Outcome; ranMs: number}
 		| {kind: 'zones'; out: ReadonlySet<string>}
-		| {kind: 'stopping'}
+	/** The entry stops: only jobs that should end by then are admitted. */
+		| {kind: 'stopping'; until: number}
 		| {kind: 'tick'};
 
 /** Start is an order for a sidecar. */
@@ -111,7 +112,9 @@
 	patienceShare: number;
 	/** The same while the entry has only just found its places, which come one after the other. */
 	settlingShare: number;
-	/** Whether the tasks of jobs that have begun go before those that have not. */
+	/** Whether the tasks of more urgent jobs go before all others. */
+	urgentFirst: boolean;
+	/** Whether, after that, the tasks of jobs that have begun go before those that have not. */
 	begunFirst: boolean;
 	/** Whether tasks are spread over the places where they should end in time, instead of going to the fastest. */
 	spread: boolean;
@@ -121,7 +124,7 @@
 
 /** The policy that runs. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 1, begunFirst: true, spread: true, margin: 2,
+	patienceShare: 0.18, settlingShare: 1, urgentFirst: false, begunFirst: true, spread: true, margin: 2,
 };
 
 type Task = {
@@ -147,6 +150,8 @@
 	patientUntil: number;
 	/** Orders by this: when the longest task must begin to be in time. */
 	rank: number;
+	/** The expected time of its longest task, in milliseconds. */
+	longestMs: number;
 	/** When its last task should have ended to be in time. */
 	objectiveAt: number;
 	/** Whether anything of it may have run, also under an earlier submission. */
@@ -187,7 +192,8 @@
 	/** Names of tasks whose jobs have ended and that may still run, so that a job submitted again starts none of them twice. */
 	private readonly fading = new Map<string, Fading>();
 	private out: ReadonlySet<string> = new Set();
-	private stopping = false;
+	/** By when all must have ended because the entry stops. */
+	private stopsAt = Number.POSITIVE_INFINITY;
 	/** When the first place was heard of. */
 	private foundAt = Number.POSITIVE_INFINITY;
 
@@ -311,7 +317,7 @@
 			}
 
 			case 'stopping': {
-				this.stopping = true;
+				this.stopsAt = event.until;
 				break;
 			}
 
@@ -328,15 +334,16 @@
 		const tasks = job.tasks.map((spec): Task => ({
 			spec, state: 'waiting', ref: 0, place: '', placedAt: 0, notBefore: 0, failures: 0, avoid: '', stopped: false,
 		})).toSorted((a, b) => b.spec.estimateMs - a.spec.estimateMs);
-		const longest = this.estimate.taskMs(job.route, tasks[0]?.spec.estimateMs ?? 0);
-		const objective = job.aimMs + (job.stretch * longest);
+		const longestMs = this.estimate.taskMs(job.route, tasks[0]?.spec.estimateMs ?? 0);
+		const objective = job.aimMs + (job.stretch * longestMs);
 		const live: Live = {
 			job,
 			tasks,
 			arrivedAt: now,
 			deadline: now + job.leftMs,
 			patientUntil: now + (objective * (this.isSettling(now) ? this.policy.settlingShare : this.policy.patienceShare)),
-			rank: now + objective - longest,
+			rank: now + objective - longestMs,
+			longestMs,
 			objectiveAt: now + objective,
 			ran: tasks.some(({spec}) => this.mayStillRun(spec.name, now)),
 		};
@@ -352,8 +359,9 @@
 		this.place(now, actions);
 	}
 
-	private objection({job, tasks, patientUntil, arrivedAt}: Live, now: number): RefusalCause | undefined {
-		if (this.stopping) {
+	private objection(live: Live, now: number): RefusalCause | undefined {
+		const {job, tasks, patientUntil, arrivedAt, longestMs} = live;
+		if (patientUntil + (longestMs * this.policy.margin) > this.stopsAt) {
 			return 'stopping';
 		}
 
@@ -366,15 +374,21 @@
 			return 'no-place';
 		}
 
-		return this.expectedMs(job.pool) > patientUntil - arrivedAt ? 'overloaded' : undefined;
+		return this.expectedMs(live) > patientUntil - arrivedAt ? 'overloaded' : undefined;
 	}
 
-	/** Estimates how long what waits for a pool takes, worked off at the rate of all of its places together. */
-	private expectedMs(pool: string): number {
+	/** Estimates how long what goes before a job takes, worked off at the rate of all places of its pool together. */
+	private expectedMs(live: Live): number {
+		const {pool} = live.job;
 		let work = 0;
-		for (const {job, tasks} of this.jobs.values()) {
+		for (const other of this.jobs.values()) {
+			const {job, tasks} = other;
+			if (job.pool !== pool || this.precedence(other, live) > 0) {
+				continue;
+			}
+
 			for (const task of tasks) {
-				work += job.pool === pool && task.state === 'waiting' ? task.spec.room.cpu * this.estimate.taskMs(job.route, task.spec.estimateMs) : 0;
+				work += task.state === 'waiting' ? task.spec.room.cpu * this.estimate.taskMs(job.route, task.spec.estimateMs) : 0;
 			}
 		}
 
@@ -397,7 +411,7 @@
 		}
 
 		const inputs = {
-			expectedMs: Math.round(this.expectedMs(live.job.pool)), patienceMs: Math.round(live.patientUntil - live.arrivedAt), waiting: this.pending(), ...this.reach,
+			expectedMs: Math.round(this.expectedMs(live)), patienceMs: Math.round(live.patientUntil - live.arrivedAt), waiting: this.pending(), ...this.reach,
 		};
 		return {
 			kind: 'refused', why, retryMs: this.retryMs(), inputs,
@@ -604,16 +618,14 @@
 		}
 	}
 
-	/** What has begun goes first, then what must begin soonest to be in time. */
+	/** What is more urgent goes first, then what has begun, then what must begin soonest to be in time. */
 	private precedence(a: Live, b: Live): number {
-		if (this.policy.begunFirst) {
-			const begun = Number(this.hasRun(b)) - Number(this.hasRun(a));
-			if (begun !== 0) {
-				return begun;
-			}
+		if (this.policy.urgentFirst && a.job.priority !== b.job.priority) {
+			return a.job.priority - b.job.priority;
 		}
 
-		return a.rank - b.rank;
+		const begun = this.policy.begunFirst ? Number(this.hasRun(b)) - Number(this.hasRun(a)) : 0;
+		return begun === 0 ? a.rank - b.rank : begun;
 	}
 
 	/** Places the tasks of a job that wait, the longest first, as far as there is room. */
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -137,9 +137,9 @@
 		}
 	}
 
-	/** Admits nothing more. */
-	drain(): void {
-		this.apply({kind: 'stopping'});
+	/** Admits from now on only what should end within a time, in milliseconds. */
+	drain(withinMs: number): void {
+		this.apply({kind: 'stopping', until: this.clock.mono() + withinMs});
 	}
 
 	/** Ends all links. */
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -11,7 +11,7 @@
 	route: 'r',
 	pool: 'p',
 	spec: '',
-	tasks: Array.from({length: tasks}, (_, index) => ({name: `j.${index}`, room: room(cpu), estimateMs: 100})),
+	tasks: Array.from({length: tasks}, (_, index) => ({name: `${fields.id ?? 'j'}.${index}`, room: room(cpu), estimateMs: 100})),
 	aimMs: 60,
 	stretch: 1.6,
 	attempts: 2,
@@ -58,7 +58,10 @@
 	['a job without a place is refused at once', [[0, submit()]], ['answer j refused no-place']],
 	['a job that fits no place is refused at once', [[0, told('a', {room: room(3)})], [0, submit()]], ['answer j refused no-place']],
 	['a job of another pool is refused at once', [[0, told('a', {pool: 'q'})], [0, submit()]], ['answer j refused no-place']],
-	['a stopping entry refuses at once', [[0, told()], [0, {kind: 'stopping'}], [0, submit()]], ['answer j refused stopping']],
+	['a stopping entry refuses at once what should not end in time', [[0, told()], [0, {kind: 'stopping', until: 100}], [0, submit()]], ['answer j refused stopping']],
+	['a stopping entry admits what should end in time', [[0, told()], [0, {kind: 'stopping', until: 300}], [0, submit()]], ['start j.0 at a as 1']],
+	['a stopping entry whose time is over refuses all', [[0, told()], [0, {kind: 'stopping', until: 300}], [301, submit({}, 0)]], ['answer j refused stopping']],
+	['what goes after a job does not keep it from being admitted', [[0, told('a', {others: room(8)})], [0, submit({id: 'k', aimMs: 15_000}, 40)], [1, submit()]], []],
 	['a task is placed at once where there is room', [[0, told()], [0, submit()]], ['start j.0 at a as 1']],
 	['a task is placed where it alone fits beside what others run', [[0, told('a', {others: room(7)})], [0, told('b')], [0, submit()]], ['start j.0 at b as 1']],
 	['nothing is placed in a zone that is out', [[0, told()], [0, told('b', {zone: 'z2'})], [0, {kind: 'zones', out: new Set(['z1'])}], [0, submit()]], ['start j.0 at b as 1']],
@@ -98,6 +101,17 @@
 	});
 }
 
+test('schedule: where urgent jobs go first, they go before what came first', t => {
+	const schedule = Schedule.create({urgentFirst: true});
+	schedule.step({kind: 'told', place: 'old', report: place({hindrance: 'absent'})}, -settledMs);
+	schedule.step(told('a', {others: room(8)}), 0);
+	for (const [id, priority] of [['j', 0], ['k', 1], ['l', 0]] as const) {
+		t.deepEqual(schedule.step(submit({id, priority, aimMs: 15_000}), 1), []);
+	}
+
+	t.deepEqual(schedule.step({kind: 'room', place: 'a', others: room(0)}, 9).map(action => short(action)), ['start j.0 at a as 1', 'start l.0 at a as 2']);
+});
+
 test('schedule: an entry that has only just found a place lets jobs wait for others instead of refusing them', t => {
 	const schedule = Schedule.create();
 	schedule.step(told('a', {hindrance: 'unsettled'}), 0);
