Room given back is offered to entries whose jobs wait for it

Cause: room that a run gives back at a worker is known at once to its owner alone; the other entries learn of it with the next beat (200 ms), while a short job may wait some 30 ms.

Change: an entry whose task finds no room tells up to 16 places its size and by when it should begin; a guard with that much free offers it to the one whose task should begin soonest, keeps it 20 ms, and counts it as taken for others until then.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -7,6 +7,7 @@
 import {
 	Schedule, type Action, type Event, type Job, type Policy, type Verdict,
 } from '../src/decide/schedule.js';
+import type {Room} from '../src/decide/room.js';
 import type {Random} from '../src/ports/random.js';
 
 /** Kind is one kind of job: how many a second, and how its tasks are drawn. Times in milliseconds. */
@@ -99,6 +100,8 @@
 	/** Starts refused by guards. */
 	refusals = 0;
 	starts = 0;
+	/** How often a worker was asked for room. */
+	wants = 0;
 	/** Thousandths of a core times milliseconds that were in use. */
 	busy = 0;
 
@@ -235,6 +238,17 @@
 				break;
 			}
 
+			case 'want': {
+				const {room, dueMs} = action;
+				this.wants++;
+				this.at(wayMs, () => {
+					this.guard(Number(action.place), {
+						kind: 'want', owner: String(entry), room, dueMs,
+					});
+				});
+				break;
+			}
+
 			case 'answer': {
 				this.count(this.draws.get(action.job)!, action.verdict);
 				this.draws.delete(action.job);
@@ -273,6 +287,14 @@
 				break;
 			}
 
+			case 'offer': {
+				this.at(wayMs, () => {
+					this.step(Number(action.owner), {kind: 'offered', place: String(index)});
+					this.room(index, Number(action.owner));
+				});
+				break;
+			}
+
 			case 'end': {
 				this.reply(index, action.owner, {
 					kind: 'ended', place: String(index), ref: action.ref, outcome: action.outcome, ranMs: action.ranMs,
@@ -329,10 +351,8 @@
 		this.step(entry, {kind: 'room', place: String(index), others: this.others(index, entry)});
 	}
 
-	private others(index: number, entry: number): {cpu: number; memoryMb: number; accelerators: number} {
-		const all = this.guards[index]!.used();
-		const own = this.guards[index]!.used(String(entry));
-		return {cpu: all.cpu - own.cpu, memoryMb: 0, accelerators: 0};
+	private others(index: number, entry: number): Room {
+		return this.guards[index]!.takenFrom(String(entry), this.now);
 	}
 
 	private tell(index: number): void {
@@ -399,11 +419,13 @@
 		const byRoute: Record<string, number> = {};
 		let share = 0;
 		let refusals = 0;
+		let wants = 0;
 		let use = 0;
 		for (const seed of seeds) {
 			const load = loads[name]!;
 			const plan = Plan.create(load, policy, seed).play();
 			refusals += plan.refusals / plan.starts;
+			wants += plan.wants / plan.starts;
 			use += plan.busy / (load.workers.reduce((sum, {cpu}) => sum + cpu, 0) * load.seconds * 1000);
 			for (const [route, tally] of plan.tallies) {
 				const {worth} = load.kinds.find(kind => kind.route === route)!;
@@ -425,6 +447,7 @@
 			byRoute: Object.fromEntries(Object.entries(byRoute).map(([route, part]) => [route, Number(part.toFixed(3))])),
 			...total,
 			orderRefusals: mean(refusals, 3),
+			wants: mean(wants, 3),
 			use: mean(use, 3),
 		})}\n`);
 	}
--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -1,9 +1,7 @@
 import type {
 	End, Look, Refusal, Reply, Run,
 } from '../ports/executor.js';
-
-/** Room is what tasks take and workers have. Processor in thousandths of a core, memory in MB. */
-export type Room = {cpu: number; memoryMb: number; accelerators: number};
+import {add, within, type Room} from './room.js';
 
 /** Ask is an entry's request to run a task. `ref` is its name at that entry. */
 export type Ask = {
@@ -33,11 +31,13 @@
 /** Outcome is what became of an ask that was started: `lost` means that it ran and neither succeeded nor failed of itself. */
 export type Outcome = 'done' | 'failed' | 'lost';
 
-/** Event is what a guard learns. `ownerLost` and `cancel` come from entries, the rest from the worker. */
+/** Event is what a guard learns. `ownerLost`, `want` and `cancel` come from entries, the rest from the worker. */
 export type Event
 	= | {kind: 'ask'; ask: Ask; clock: number}
 		| {kind: 'cancel'; owner: string; ref: number}
 		| {kind: 'ownerLost'; owner: string}
+	/** The owner has a task of this size that waits for room and should begin within `dueMs`. Holds until it is offered room. */
+		| {kind: 'want'; owner: string; room: Room; dueMs: number}
 		| {kind: 'reported'; worker: Worker}
 		| {kind: 'left'; life: string}
 		| {kind: 'started'; run: Run; reply: Reply}
@@ -54,10 +54,14 @@
 	= | {kind: 'start'; run: Run; ask: Ask}
 		| {kind: 'stop'; run: Run}
 		| {kind: 'refuse'; owner: string; ref: number; why: Hindrance}
+	/** There is room for what the owner wanted; it is kept for `offerMs`. */
+		| {kind: 'offer'; owner: string}
 		| {kind: 'end'; owner: string; ref: number; outcome: Outcome; ranMs: number};
 
 /** How old an ask may be when it arrives, in worker-clock milliseconds: under the silence after which its entry gives the link up. */
 export const askFreshMs = 600;
+/** How long offered room is kept, in milliseconds: there and back between regions (8 ms a way), and a turn of both loops. */
+export const offerMs = 20;
 /** Looks without an answer after which a worker gets nothing until it answers. */
 const silentLimit = 3;
 /** How often a run that the worker calls old is asked for again under a higher number. */
@@ -74,6 +78,8 @@
 	/** A stop was sent; the room stays taken until the end is listed. */
 		| 'stopping';
 
+type Want = {owner: string; room: Room; due: number};
+
 type Held = {
 	run: Run;
 	ask: Ask;
@@ -110,6 +116,9 @@
 	seen = 0;
 
 	private readonly held = new Map<string, Held>();
+	/** Who waits for room, in the order in which they came, and for whom some is kept until when. */
+	private readonly wants = new Map<string, Want>();
+	private readonly offers = new Map<string, {room: Room; until: number}>();
 	private readonly strays = new Map<string, Run>();
 	private readonly numbers = new Map<string, number>();
 	/** Whether what earlier lives of this process started is known to be over. */
@@ -156,14 +165,30 @@
 		return this.inherited ? 'unsettled' : undefined;
 	}
 
-	/** The room that is taken, by `owner` alone where one is named. */
-	used(owner?: string): Room {
+	/** The room that is taken for an owner. */
+	used(owner: string): Room {
 		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
 		for (const {ask} of this.held.values()) {
-			if (owner === undefined || ask.owner === owner) {
-				sum.cpu += ask.room.cpu;
-				sum.memoryMb += ask.room.memoryMb;
-				sum.accelerators += ask.room.accelerators;
+			if (ask.owner === owner) {
+				add(sum, ask.room, 1);
+			}
+		}
+
+		return sum;
+	}
+
+	/** The room that an owner can't have: taken by others or kept for them. */
+	takenFrom(owner: string, now: number): Room {
+		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
+		for (const {ask} of this.held.values()) {
+			if (ask.owner !== owner) {
+				add(sum, ask.room, 1);
+			}
+		}
+
+		for (const [other, {room, until}] of this.offers) {
+			if (other !== owner && now < until) {
+				add(sum, room, 1);
 			}
 		}
 
@@ -198,7 +223,15 @@
 				break;
 			}
 
+			case 'want': {
+				this.wants.delete(event.owner);
+				this.wants.set(event.owner, {owner: event.owner, room: event.room, due: now + event.dueMs});
+				break;
+			}
+
 			case 'ownerLost': {
+				this.wants.delete(event.owner);
+				this.offers.delete(event.owner);
 				for (const held of this.held.values()) {
 					if (held.ask.owner === event.owner) {
 						held.wanted = false;
@@ -253,11 +286,34 @@
 			}
 		}
 
+		this.offer(now, actions);
 		return actions;
 	}
 
+	/** Offers room that is free to those who want some, first to whose task should begin soonest, one task's worth to each. */
+	private offer(now: number, actions: Action[]): void {
+		if (this.wants.size === 0 || this.hindrance) {
+			return;
+		}
+
+		for (const want of [...this.wants.values()].toSorted((a, b) => a.due - b.due)) {
+			if (this.fits(want.owner, want.room, now)) {
+				this.wants.delete(want.owner);
+				this.offers.set(want.owner, {room: want.room, until: now + offerMs});
+				actions.push({kind: 'offer', owner: want.owner});
+			}
+		}
+	}
+
+	private fits(owner: string, size: Room, now: number): boolean {
+		const free = {...this.worker!.room};
+		add(free, this.takenFrom(owner, now), -1);
+		add(free, this.used(owner), -1);
+		return within(size, free);
+	}
+
 	private judge(ask: Ask, clock: number, now: number, actions: Action[]): void {
-		const why = this.hindrance ?? this.objection(ask, clock);
+		const why = this.hindrance ?? this.objection(ask, clock, now);
 		if (why) {
 			actions.push({
 				kind: 'refuse', owner: ask.owner, ref: ask.ref, why,
@@ -265,6 +321,7 @@
 			return;
 		}
 
+		this.offers.delete(ask.owner);
 		const run = {task: ask.task, number: (this.numbers.get(ask.task) ?? 0) + 1};
 		this.remember(run);
 		this.held.set(ask.task, {
@@ -273,7 +330,7 @@
 		actions.push({kind: 'start', run, ask});
 	}
 
-	private objection(ask: Ask, clock: number): Hindrance | undefined {
+	private objection(ask: Ask, clock: number, now: number): Hindrance | undefined {
 		if (clock - ask.sentAt > askFreshMs) {
 			return 'stale';
 		}
@@ -282,12 +339,7 @@
 			return 'duplicate';
 		}
 
-		const used = this.used();
-		const {room} = this.worker!;
-		const fits = used.cpu + ask.room.cpu <= room.cpu
-			&& used.memoryMb + ask.room.memoryMb <= room.memoryMb
-			&& used.accelerators + ask.room.accelerators <= room.accelerators;
-		return fits ? undefined : 'room';
+		return this.fits(ask.owner, ask.room, now) ? undefined : 'room';
 	}
 
 	private report(worker: Worker, now: number, actions: Action[]): void {
--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -2,7 +2,8 @@
 	healthy, observe, probe, standingOf, type Health,
 } from './eject.js';
 import {Estimate} from './estimate.js';
-import type {Hindrance, Outcome, Room} from './guard.js';
+import type {Hindrance, Outcome} from './guard.js';
+import {add, within, type Room} from './room.js';
 
 /** Job is a submission that is kept in memory alone: all of its tasks run, or it ends plainly otherwise. */
 export type Job = {
@@ -60,6 +61,8 @@
 		| {kind: 'left' | 'cancel'; job: string}
 		| {kind: 'told'; place: string; report: PlaceReport}
 		| {kind: 'room'; place: string; others: Room}
+	/** Room that was wanted there is free and kept for a moment; a `room` event with how much follows. */
+		| {kind: 'offered'; place: string}
 		| {kind: 'down'; place: string}
 	/** All that was started at the place before it last went down is over. */
 		| {kind: 'clear'; place: string}
@@ -77,6 +80,8 @@
 export type Action
 	= | Start
 		| {kind: 'stop'; place: string; ref: number}
+	/** Something waits for room of this size and should begin within `dueMs`; the place is to offer some when it has it. */
+		| {kind: 'want'; place: string; room: Room; dueMs: number}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
 
 /**
@@ -100,6 +105,8 @@
 const overheadMs = 10;
 /** How long a place that refused for want of room gets nothing, in milliseconds, unless it tells of room before. */
 const fullMs = 15;
+/** How many places of a pool are asked for room at a time: enough that some soon has room, few enough to cost little where there are hundreds. */
+const wantMost = 16;
 /** How long a task waits whose name still runs for somebody else, in milliseconds. */
 const duplicateMs = 120;
 /** Bounds of the time after which a refused caller is told to come back, in milliseconds. */
@@ -164,6 +171,8 @@
 	mine: Room;
 	health: Health;
 	notBefore: number;
+	/** Whether it was told that something waits for its room, and has not offered any since. */
+	wanted: boolean;
 };
 
 type Fading = {ref: number; place: string; until: number; lost: boolean};
@@ -289,6 +298,15 @@
 				break;
 			}
 
+			case 'offered': {
+				const place = this.places.get(event.place);
+				if (place) {
+					place.wanted = false;
+				}
+
+				break;
+			}
+
 			case 'down': {
 				this.down(event.place, now);
 				break;
@@ -430,7 +448,7 @@
 		}
 
 		this.places.set(id, {
-			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, health: healthy, notBefore: 0,
+			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, health: healthy, notBefore: 0, wanted: false,
 		});
 	}
 
@@ -438,6 +456,7 @@
 		const place = this.places.get(id);
 		if (place) {
 			place.linked = false;
+			place.wanted = false;
 		}
 
 		for (const fading of this.fading.values()) {
@@ -613,8 +632,34 @@
 		const waiting = [...this.jobs.values()]
 			.filter(({tasks}) => tasks.some(({state}) => state === 'waiting'))
 			.toSorted((a, b) => this.precedence(a, b));
+		const lacking = new Set<string>();
 		for (const live of waiting) {
-			this.placeTasks(live, now, actions);
+			const task = this.placeTasks(live, now, actions);
+			if (task && !lacking.has(live.job.pool)) {
+				lacking.add(live.job.pool);
+				this.want(live, task, now, actions);
+			}
+		}
+	}
+
+	/** Asks the places of a pool for room for the most urgent task that has found none. */
+	private want({job: {pool}, rank}: Live, {spec: {room}}: Task, now: number, actions: Action[]): void {
+		let asked = 0;
+		for (const place of this.places.values()) {
+			if (place.pool !== pool || !this.isOpen(place) || !within(room, place.room)) {
+				continue;
+			}
+
+			if (++asked > wantMost) {
+				return;
+			}
+
+			if (!place.wanted) {
+				place.wanted = true;
+				actions.push({
+					kind: 'want', place: place.id, room, dueMs: Math.round(rank - now),
+				});
+			}
 		}
 	}
 
@@ -628,18 +673,20 @@
 		return begun === 0 ? a.rank - b.rank : begun;
 	}
 
-	/** Places the tasks of a job that wait, the longest first, as far as there is room. */
-	private placeTasks(live: Live, now: number, actions: Action[]): void {
+	/** Places the tasks of a job that wait, the longest first, as far as there is room. Returns the first for which there is none. */
+	private placeTasks(live: Live, now: number, actions: Action[]): Task | undefined {
 		for (const task of live.tasks) {
 			if (task.state === 'waiting' && now >= task.notBefore && !this.mayStillRun(task.spec.name, now)) {
 				const place = this.choose(live, task, now);
 				if (!place) {
-					return;
+					return task;
 				}
 
 				actions.push(this.send(live, task, place, now));
 			}
 		}
+
+		return undefined;
 	}
 
 	private unfade(sent: Sent | undefined, ref: number): void {
@@ -786,10 +833,6 @@
 	}
 }
 
-function within(size: Room, room: Room): boolean {
-	return size.cpu <= room.cpu && size.memoryMb <= room.memoryMb && size.accelerators <= room.accelerators;
-}
-
 function freeRoom({room, others, mine}: Place): Room {
 	return {
 		cpu: room.cpu - others.cpu - mine.cpu,
@@ -797,9 +840,3 @@
 		accelerators: room.accelerators - others.accelerators - mine.accelerators,
 	};
 }
-
-function add(sum: Room, size: Room, sign: 1 | -1): void {
-	sum.cpu += sign * size.cpu;
-	sum.memoryMb += sign * size.memoryMb;
-	sum.accelerators += sign * size.accelerators;
-}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -168,6 +168,7 @@
 
 			case 'place':
 			case 'room':
+			case 'offer':
 			case 'refused':
 			case 'ended': {
 				this.hear(message, link);
@@ -190,6 +191,7 @@
 			case 'beat':
 			case 'start':
 			case 'stop':
+			case 'want':
 			case 'zones': {
 				break;
 			}
@@ -308,6 +310,11 @@
 				break;
 			}
 
+			case 'offer': {
+				this.apply({kind: 'offered', place});
+				break;
+			}
+
 			case 'refused': {
 				this.meters.refusals.inc({why: message.why});
 				this.apply({
@@ -382,6 +389,12 @@
 				break;
 			}
 
+			case 'want': {
+				this.meters.orders.inc({kind: 'want'});
+				this.sidecars.get(action.place)?.link.send({kind: 'want', room: action.room, dueMs: action.dueMs});
+				break;
+			}
+
 			case 'answer': {
 				const waiters = this.waiters.get(action.job);
 				this.waiters.delete(action.job);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -161,6 +161,7 @@
 
 			case 'start':
 			case 'stop':
+			case 'want':
 			case 'zones': {
 				this.order(message, link);
 				break;
@@ -174,6 +175,7 @@
 			case 'beat':
 			case 'place':
 			case 'room':
+			case 'offer':
 			case 'refused':
 			case 'ended':
 			case 'desired': {
@@ -202,8 +204,9 @@
 
 	beforeFlush(link: Link): void {
 		if (link.peer) {
+			const owner = ownerOf(link);
 			link.send({
-				kind: 'room', others: this.others(link), stamp: this.workerClock(), clear: this.guard.isClear(ownerOf(link)),
+				kind: 'room', others: this.guard.takenFrom(owner, this.clock.mono()), stamp: this.workerClock(), clear: this.guard.isClear(owner),
 			});
 		}
 	}
@@ -236,6 +239,13 @@
 				break;
 			}
 
+			case 'want': {
+				this.apply({
+					kind: 'want', owner: ownerOf(link), room: message.room, dueMs: message.dueMs,
+				});
+				break;
+			}
+
 			case 'zones': {
 				this.learnZones(message.asOf, message.out);
 				break;
@@ -294,6 +304,12 @@
 				break;
 			}
 
+			case 'offer': {
+				this.meters.offers.inc();
+				this.linkOf(action.owner)?.send({kind: 'offer'});
+				break;
+			}
+
 			case 'end': {
 				this.meters.ends.inc({outcome: action.outcome});
 				this.linkOf(action.owner)?.send({
@@ -442,12 +458,6 @@
 		return this.reading.clock + (this.clock.mono() - this.reading.at);
 	}
 
-	private others(link: Link): {cpu: number; memoryMb: number; accelerators: number} {
-		const all = this.guard.used();
-		const own = this.guard.used(ownerOf(link));
-		return {cpu: all.cpu - own.cpu, memoryMb: all.memoryMb - own.memoryMb, accelerators: all.accelerators - own.accelerators};
-	}
-
 	private tellAll(): void {
 		for (const link of this.links) {
 			this.tell(link);
@@ -462,7 +472,7 @@
 				zone: this.settings.zone,
 				pool: worker?.pool ?? '',
 				room: worker?.room ?? {cpu: 0, memoryMb: 0, accelerators: 0},
-				others: this.others(link),
+				others: this.guard.takenFrom(ownerOf(link), this.clock.mono()),
 				hindrance: this.guard.hindrance,
 			},
 			stamp: this.workerClock(),
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -1,4 +1,5 @@
-import type {Hindrance, Outcome, Room} from '../decide/guard.js';
+import type {Hindrance, Outcome} from '../decide/guard.js';
+import type {Room} from '../decide/room.js';
 import type {PlaceReport} from '../decide/schedule.js';
 
 /** Hello is the first message on a link, either way. `life` is new each time the process starts. */
@@ -18,6 +19,8 @@
 export type ToEntry
 	= | {kind: 'place'; report: PlaceReport; stamp: Stamp; clear: boolean}
 		| {kind: 'room'; others: Room; stamp: Stamp; clear: boolean}
+	/** The room that the entry wanted is kept for it; how much there is follows. */
+		| {kind: 'offer'}
 		| {kind: 'refused'; ref: number; why: Hindrance}
 		| {kind: 'ended'; ref: number; outcome: Outcome; ranMs: number};
 
@@ -26,6 +29,8 @@
 	/** `age` is how long the entry has had the stamp, in milliseconds. */
 	= | {kind: 'start'; ref: number; task: string; room: Room; spec: string; stamp: Stamp; age: number}
 		| {kind: 'stop'; ref: number}
+	/** A task of this size waits for room and should begin within `dueMs`. */
+		| {kind: 'want'; room: Room; dueMs: number}
 		| {kind: 'zones'; asOf: number; out: readonly string[]};
 
 /** Gossip is what entries tell each other and, of addresses, their sidecars. */
--- a/src/ephemeral/meters.ts
+++ b/src/ephemeral/meters.ts
@@ -30,7 +30,7 @@
 	readonly registry = new Registry();
 	readonly answers = counter(this.registry, 'jobs_total', 'Jobs by route and how they ended.', ['route', 'verdict']);
 	readonly unsupported = counter(this.registry, 'jobs_unsupported_total', 'Jobs refused for a field that is not served.', ['field']);
-	readonly orders = counter(this.registry, 'orders_total', 'Starts and stops sent to sidecars.', ['kind']);
+	readonly orders = counter(this.registry, 'orders_total', 'Starts, stops and wishes for room sent to sidecars.', ['kind']);
 	readonly refusals = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
 	readonly ends = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
@@ -60,6 +60,7 @@
 	readonly registry = new Registry();
 	readonly starts = counter(this.registry, 'starts_total', 'Orders to start sent to the worker.', []);
 	readonly refusals = counter(this.registry, 'asks_refused_total', 'Asks of entries that were refused, by reason.', ['why']);
+	readonly offers = counter(this.registry, 'offers_total', 'Room offered to entries that wanted some.', []);
 	readonly ends = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly unanswered = counter(this.registry, 'looks_unanswered_total', 'Looks at the worker without an answer.', []);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -47,26 +47,30 @@
 	return executor;
 }
 
-type Scene = {entries: Dispatcher[]; drivers: Driver[]; workers: ModelWorker[]; executors: Array<Executor & {silent: boolean}>};
+type Scene = {entries: Dispatcher[]; entryMeters: DispatchMeters[]; drivers: Driver[]; driverMeters: DriverMeters[]; workers: ModelWorker[]; executors: Array<Executor & {silent: boolean}>};
 
 /** Starts entries that know the first of them, and sidecars that know it too, each with a worker. */
 async function start(t: ExecutionContext, entries: number, sidecars: number, tookMs = 50): Promise<Scene> {
 	const scene: Scene = {
-		entries: [], drivers: [], workers: [], executors: [],
+		entries: [], entryMeters: [], drivers: [], driverMeters: [], workers: [], executors: [],
 	};
 	for (let index = 0; index < entries; index++) {
+		const meters = DispatchMeters.create();
+		scene.entryMeters.push(meters);
 		scene.entries.push(await Dispatcher.create({
 			node: `e${index}`, life: `e${index}-1`, address: '127.0.0.1:0', seeds: scene.entries.slice(0, 1).map(({address}) => address),
-		}, systemClock, quiet, DispatchMeters.create()));
+		}, systemClock, quiet, meters));
 	}
 
 	for (let index = 0; index < sidecars; index++) {
 		const worker = ModelWorker.create(room, leaseMs);
 		const executor = executorOf(worker, {room: {...room, cpu: 4}, tookMs, ending: 'done'});
+		const meters = DriverMeters.create();
+		scene.driverMeters.push(meters);
 		const driver = Driver.create({
 			node: `s${index}`, life: `s${index}-1`, zone: 'z', seeds: [scene.entries[0]!.address], leaseMs,
 		}, {
-			clock: systemClock, executor, log: quiet, meters: DriverMeters.create(),
+			clock: systemClock, executor, log: quiet, meters,
 		});
 		driver.reported({
 			life: `w${index}`, born: 1, pool: 'p', room, labels: [], draining: false,
@@ -137,6 +141,18 @@
 	t.deepEqual(await submit(late, job('j')), {kind: 'completed'});
 });
 
+test('ephemeral: an entry whose job waits for room is offered what another entry\'s job leaves', async t => {
+	const {entries: [first, second], entryMeters, driverMeters} = await start(t, 2, 1);
+	await until(() => first!.schedule.reach.open === 1 && second!.schedule.reach.open === 1);
+	const one = submit(first!, job('one', 8));
+	await until(() => first!.schedule.tasksAt('s0').length === 2);
+	t.deepEqual(await Promise.all([one, submit(second!, job('two', 8))]), [{kind: 'completed'}, {kind: 'completed'}]);
+	const asked = await Promise.all(entryMeters.map(async ({orders}) => orders.get()));
+	t.true(asked.flatMap(({values}) => values).some(({labels, value}) => labels.kind === 'want' && value > 0));
+	const {values: [offers]} = await driverMeters[0]!.offers.get();
+	t.true(offers!.value > 0);
+});
+
 test('ephemeral: a second submission of a job under way joins it', async t => {
 	const {entries: [entry], workers: [worker]} = await start(t, 1, 1);
 	await until(() => entry!.schedule.reach.open === 1);
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	askFreshMs, Guard, type Action, type Ask, type Event, type Worker,
+	askFreshMs, Guard, offerMs, type Action, type Ask, type Event, type Worker,
 } from '../src/decide/guard.js';
 import {raise} from '../src/decide/fence.js';
 import type {End, Look, Reply} from '../src/ports/executor.js';
@@ -29,6 +29,10 @@
 const unknown: Reply = {kind: 'unknown', cause: 'timeout', absent: false};
 const cancel: Event = {kind: 'cancel', owner: 'e1', ref: 1};
 const ownerLost: Event = {kind: 'ownerLost', owner: 'e1'};
+const want = (owner: string, cpu = 4, dueMs = 0): Event => ({
+	kind: 'want', owner, room: room(cpu), dueMs,
+});
+const offer = (owner: string): Record<string, unknown> => ({kind: 'offer', owner});
 const lostLook: Event = {kind: 'looked', look: unknown, askedAt: 0};
 const refuse = (why: string, ref = 1): Record<string, unknown> => ({
 	kind: 'refuse', owner: 'e1', ref, why,
@@ -78,6 +82,16 @@
 	['a worker whose life is gone has lost its runs', [...ready, asked(), started(), {kind: 'looked', look: {kind: 'refused', reason: 'other-life'}, askedAt: 0}], [ended('lost', 0)]],
 	['when all leases are over, all is lost', [...ready, asked(), started(), {kind: 'lapsed'}], [ended('lost', 0)]],
 	['a worker that does not answer gets nothing', [...ready, lostLook, lostLook, lostLook, asked()], [refuse('absent')]],
+	['room that is free is offered to who wants some', [...ready, want('e2')], [offer('e2')]],
+	['no room is offered that is not free', [...ready, asked({room: room(7)}), want('e2')], []],
+	['room is offered when it is free', [...ready, asked({room: room(7)}), want('e2'), started(), looked({ended: [end()]})], [ended('done', 0), offer('e2')]],
+	['room is offered first to whose task should begin soonest', [...ready, asked({room: room(7)}), want('e2', 6, 9), want('e3', 6, 5), looked({ended: [end()]})], [ended('done', 0), offer('e3')]],
+	['room is offered once for a want', [...ready, want('e2'), looked()], []],
+	['offered room is kept from others', [...ready, want('e2', 7), asked()], [refuse('room')]],
+	['offered room is there for whom it is kept', [...ready, want('e1', 7), asked({room: room(7)})], [{kind: 'start', run: run(), ask: ask({room: room(7)})}]],
+	['an entry that is lost is offered nothing', [...ready, asked({room: room(7)}), want('e2'), {kind: 'ownerLost', owner: 'e2'}, looked({ended: [end()]})], [ended('done', 0)]],
+	['room kept for an entry that is lost is given back', [...ready, want('e2', 7), {kind: 'ownerLost', owner: 'e2'}, asked()], [{kind: 'start', run: run(), ask: ask()}]],
+	['a worker that drains offers nothing', [...ready, {kind: 'reported', worker: worker({draining: true})}, want('e2')], []],
 	['a worker that answers again gets work', [...ready, lostLook, lostLook, lostLook, looked(), asked()], [{kind: 'start', run: run(), ask: ask()}]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	test(`guard: ${title}`, t => {
@@ -91,6 +105,17 @@
 	});
 }
 
+test('guard: offered room is kept for a while only', t => {
+	const guard = Guard.create();
+	for (const event of [...ready, want('e2', 7)]) {
+		guard.step(event, 0);
+	}
+
+	t.is(guard.takenFrom('e1', offerMs - 1).cpu, 7);
+	t.is(guard.takenFrom('e1', offerMs).cpu, 0);
+	t.is(guard.step(asked(), offerMs)[0]?.kind, 'start');
+});
+
 test('guard: an entry is clear once what it lost holds no room', t => {
 	const guard = Guard.create();
 	const clear = [...ready, asked(), started(), ownerLost, stopped(), looked({ended: [end({ending: 'stopped'})]})].map(event => {
@@ -114,6 +139,7 @@
 /** One step of a random history at one worker. */
 type Step
 	= | {kind: 'ask'; owner: number; task: number; cpu: number; tookMs: number; fails: boolean; fate: Fate}
+		| {kind: 'want'; owner: number; cpu: number}
 		| {kind: 'cancel'; back: number}
 		| {kind: 'ownerLost'; owner: number}
 		| {kind: 'look'; lost: boolean}
@@ -132,6 +158,7 @@
 	},
 	{weight: 8, arbitrary: fc.record({kind: fc.constant('look' as const), lost: fc.boolean()})},
 	{weight: 8, arbitrary: fc.record({kind: fc.constant('wait' as const), ms: fc.integer({min: 1, max: 400})})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('want' as const), owner: fc.nat(1), cpu: fc.integer({min: 1, max: 6})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('cancel' as const), back: fc.nat(5)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('ownerLost' as const), owner: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('workerRestart', 'sidecarRestart', 'drain', 'zoneOut', 'zoneIn')})},
@@ -179,6 +206,11 @@
 				break;
 			}
 
+			case 'want': {
+				this.step(want(`e${one.owner}`, one.cpu));
+				break;
+			}
+
 			case 'cancel': {
 				const ref = this.refs - one.back;
 				for (const owner of ['e0', 'e1']) {
@@ -308,6 +340,14 @@
 				break;
 			}
 
+			case 'offer': {
+				if (this.draining || this.out) {
+					this.faults.push(`an offer while ${this.draining ? 'draining' : 'the zone is out'}`);
+				}
+
+				break;
+			}
+
 			case 'refuse':
 			case 'end': {
 				if (this.told.has(action.ref)) {
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -32,6 +32,8 @@
 });
 /** A job whose caller waits longer than a lost run can last. */
 const patient: Event = submit({aimMs: 15_000});
+const roomAt = (id: string, cpu: number): Event => ({kind: 'room', place: id, others: room(cpu)});
+const offered: Event = {kind: 'offered', place: 'a'};
 const downA: Event = {kind: 'down', place: 'a'};
 const left: Event = {kind: 'left', job: 'j'};
 const tick: Event = {kind: 'tick'};
@@ -48,6 +50,10 @@
 			return `stop ${action.ref} at ${action.place}`;
 		}
 
+		case 'want': {
+			return `want ${action.room.cpu} at ${action.place}`;
+		}
+
 		case 'answer': {
 			return `answer ${action.job} ${action.verdict.kind}${action.verdict.kind === 'refused' ? ` ${action.verdict.why}` : ''}`;
 		}
@@ -74,6 +80,12 @@
 	['a name that still runs elsewhere is not placed at once', [[0, told()], [0, told('b')], [0, submit()], [1, refused('duplicate')]], []],
 	['a name that ran elsewhere is placed later', [[0, told()], [0, patient], [1, refused('duplicate')], [200, tick]], ['start j.0 at a as 2']],
 	['a job that has waited its part is refused, and was not run', [[0, told('a', {others: room(8)})], [0, submit()], [100, tick]], ['answer j refused overloaded']],
+	['a task that finds no room asks the places for some', [[0, told('a', {others: room(8)})], [0, told('b', {others: room(9)})], [0, submit()]], ['want 4 at a', 'want 4 at b']],
+	['a place is asked for room once', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, tick]], []],
+	['a place that offered too little is asked again', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, offered], [5, roomAt('a', 7)]], ['want 4 at a']],
+	['a place that told of its room without an offer is not asked again', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, roomAt('a', 7)]], []],
+	['offered room is taken', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, offered], [5, roomAt('a', 0)]], ['start j.0 at a as 1']],
+	['a place that gets no work is not asked', [[0, told('a', {others: room(8)})], [0, told('b', {hindrance: 'draining'})], [0, told('c', {room: room(3)})], [0, submit()]], ['want 4 at a']],
 	['a job that has begun is not refused', [[0, told('a', {others: room(4)})], [0, submit({}, 2)], [100, tick]], []],
 	['a job that has begun is given up at its deadline', [[0, told()], [0, submit({leftMs: 200})], [200, tick]], ['stop 1 at a', 'answer j expired']],
 	['a job whose caller left is stopped', [[0, told()], [0, submit()], [5, left]], ['stop 1 at a']],
@@ -106,10 +118,10 @@
 	schedule.step({kind: 'told', place: 'old', report: place({hindrance: 'absent'})}, -settledMs);
 	schedule.step(told('a', {others: room(8)}), 0);
 	for (const [id, priority] of [['j', 0], ['k', 1], ['l', 0]] as const) {
-		t.deepEqual(schedule.step(submit({id, priority, aimMs: 15_000}), 1), []);
+		t.false(schedule.step(submit({id, priority, aimMs: 15_000}), 1).some(({kind}) => kind === 'start'));
 	}
 
-	t.deepEqual(schedule.step({kind: 'room', place: 'a', others: room(0)}, 9).map(action => short(action)), ['start j.0 at a as 1', 'start l.0 at a as 2']);
+	t.deepEqual(schedule.step(roomAt('a', 0), 9).map(action => short(action)), ['start j.0 at a as 1', 'start l.0 at a as 2']);
 });
 
 test('schedule: an entry that has only just found a place lets jobs wait for others instead of refusing them', t => {
@@ -125,7 +137,7 @@
 		| {kind: 'wait'; ms: number}
 		| {kind: 'reply'; which: number; how: Outcome | Hindrance}
 		| {kind: 'down' | 'clear' | 'told' | 'hinder'; place: number}
-		| {kind: 'others'; place: number; cpu: number}
+		| {kind: 'others'; place: number; cpu: number; offered: boolean}
 		| {kind: 'left' | 'cancel'; back: number};
 
 const step: fc.Arbitrary<Step> = fc.oneof(
@@ -143,7 +155,12 @@
 		}),
 	},
 	{weight: 4, arbitrary: fc.record({kind: fc.constantFrom('down', 'clear', 'told', 'told', 'hinder'), place: fc.nat(3)})},
-	{weight: 2, arbitrary: fc.record({kind: fc.constant('others' as const), place: fc.nat(3), cpu: fc.nat(10)})},
+	{
+		weight: 2,
+		arbitrary: fc.record({
+			kind: fc.constant('others' as const), place: fc.nat(3), cpu: fc.nat(10), offered: fc.boolean(),
+		}),
+	},
 	{weight: 2, arbitrary: fc.record({kind: fc.constantFrom('left', 'cancel'), back: fc.nat(5)})},
 );
 
@@ -237,7 +254,11 @@
 
 			case 'others': {
 				if (this.linked.has(`p${one.place}`)) {
-					this.step({kind: 'room', place: `p${one.place}`, others: room(one.cpu)});
+					if (one.offered) {
+						this.step({kind: 'offered', place: `p${one.place}`});
+					}
+
+					this.step(roomAt(`p${one.place}`, one.cpu));
 				}
 
 				break;
@@ -378,6 +399,14 @@
 				break;
 			}
 
+			case 'want': {
+				if (!this.linked.has(action.place) || this.hindered.has(action.place)) {
+					this.faults.push(`${action.place} was asked for room and gets no work`);
+				}
+
+				break;
+			}
+
 			case 'answer': {
 				this.answer(action.job, action.verdict);
 				break;
--- a/test/worker.ts
+++ b/test/worker.ts
@@ -1,7 +1,7 @@
 import type {
 	End, Ending, Look, Order, Reply, Run,
 } from '../src/ports/executor.js';
-import type {Room} from '../src/decide/guard.js';
+import type {Room} from '../src/decide/room.js';
 
 type Going = {number: number; room: Room; until: number; ending: Ending};
 
