An answer that came while the process was busy counts

The test keeps the process busy for 200 ms after the orders were sent: four unknown outcomes before, none after.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,6 +1,9 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setImmediate as turn} from 'node:timers/promises';
+import {Worker as Thread} from 'node:worker_threads';
 import test, {type ExecutionContext} from 'ava';
 import {pino} from 'pino';
 import {systemClock} from '../src/adapters/clock.js';
@@ -277,6 +280,32 @@
 	await nowhere.close();
 });
 
+test('platform: an answer that came while the process was busy counts', async t => {
+	const thread = new Thread(`
+		const {createServer} = require('node:http');
+		const {parentPort} = require('node:worker_threads');
+		const server = createServer((request, response) => {
+			request.resume().on('end', () => response.end(JSON.stringify({clock_ms: 7})));
+		}).listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+	`, {eval: true});
+	const [port] = await once(thread, 'message') as [number];
+	const worker = openWorker(`127.0.0.1:${port}`);
+	t.teardown(async () => {
+		await worker.close();
+		await thread.terminate();
+	});
+	const order = {
+		task: 't', number: 1, spec: '', leaseUntil: 1, fence: 1,
+	};
+	t.like(await worker.start(order, 'i-1'), {kind: 'done'});
+	const replies = Array.from({length: 4}, async () => worker.start(order, 'i-1'));
+	// The orders are sent; then nothing runs here for longer than an order may take.
+	await turn();
+	await turn();
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 200);
+	t.deepEqual(new Set((await Promise.all(replies)).map(({kind}) => kind)), new Set(['done']));
+});
+
 test('platform: the front answers by what it knows', async t => {
 	const dispatcher = await Dispatcher.create({
 		node: 'e', life: 'e-1', address: '127.0.0.1:0', seeds: [],
