After a loss of all, jobs that are late are served after those that can be in time

An answer that is late is worth a fifth to the caller; a refusal is the end of the job.

Change: for the 3 s in which an entry finds its places, a job may wait 2.5 times its aim (three times is the end of what counts as late); a job that has not begun and can't be in time any more goes after all others, then and always.

--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -123,6 +123,8 @@
 	urgentFirst: boolean;
 	/** Whether, after that, the tasks of jobs that have begun go before those that have not. */
 	begunFirst: boolean;
+	/** Whether jobs that have not begun and can't be in time any more go after all others. */
+	lateLast: boolean;
 	/** Whether tasks are spread over the places where they should end in time, instead of going to the fastest. */
 	spread: boolean;
 	/** How much longer than expected a task may take when such a place is chosen, as a factor: estimates are some 40% off. */
@@ -131,7 +133,7 @@
 
 /** The policy that runs. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 1, urgentFirst: false, begunFirst: true, spread: true, margin: 2,
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, margin: 2,
 };
 
 type Task = {
@@ -368,7 +370,7 @@
 		const why = this.objection(live, now);
 		if (why) {
 			actions.push({
-				kind: 'answer', job: job.id, verdict: this.giveUp(live, why), waitedMs: 0,
+				kind: 'answer', job: job.id, verdict: this.giveUp(live, why, now), waitedMs: 0,
 			});
 			return;
 		}
@@ -392,16 +394,16 @@
 			return 'no-place';
 		}
 
-		return this.expectedMs(live) > patientUntil - arrivedAt ? 'overloaded' : undefined;
+		return this.expectedMs(live, now) > patientUntil - arrivedAt ? 'overloaded' : undefined;
 	}
 
 	/** Estimates how long what goes before a job takes, worked off at the rate of all places of its pool together. */
-	private expectedMs(live: Live): number {
+	private expectedMs(live: Live, now: number): number {
 		const {pool} = live.job;
 		let work = 0;
 		for (const other of this.jobs.values()) {
 			const {job, tasks} = other;
-			if (job.pool !== pool || this.precedence(other, live) > 0) {
+			if (job.pool !== pool || this.precedence(other, live, now) > 0) {
 				continue;
 			}
 
@@ -423,13 +425,13 @@
 	}
 
 	/** A job of which something may have run, also under an earlier submission, is never told not to have run. */
-	private giveUp(live: Live, why: RefusalCause): Verdict {
+	private giveUp(live: Live, why: RefusalCause, now: number): Verdict {
 		if (this.hasRun(live)) {
 			return {kind: 'expired'};
 		}
 
 		const inputs = {
-			expectedMs: Math.round(this.expectedMs(live)), patienceMs: Math.round(live.patientUntil - live.arrivedAt), waiting: this.pending(), ...this.reach,
+			expectedMs: Math.round(this.expectedMs(live, now)), patienceMs: Math.round(live.patientUntil - live.arrivedAt), waiting: this.pending(), ...this.reach,
 		};
 		return {
 			kind: 'refused', why, retryMs: this.retryMs(), inputs,
@@ -577,12 +579,12 @@
 
 		for (const live of this.jobs.values()) {
 			if (now >= live.deadline) {
-				this.finish(live, this.giveUp(live, 'overloaded'), now, actions);
+				this.finish(live, this.giveUp(live, 'overloaded', now), now, actions);
 				continue;
 			}
 
 			if (now >= live.patientUntil && !this.hasRun(live)) {
-				this.finish(live, this.giveUp(live, this.reach.open === 0 ? 'no-place' : 'overloaded'), now, actions);
+				this.finish(live, this.giveUp(live, this.reach.open === 0 ? 'no-place' : 'overloaded', now), now, actions);
 				continue;
 			}
 
@@ -631,7 +633,7 @@
 	private place(now: number, actions: Action[]): void {
 		const waiting = [...this.jobs.values()]
 			.filter(({tasks}) => tasks.some(({state}) => state === 'waiting'))
-			.toSorted((a, b) => this.precedence(a, b));
+			.toSorted((a, b) => this.precedence(a, b, now));
 		const lacking = new Set<string>();
 		for (const live of waiting) {
 			const task = this.placeTasks(live, now, actions);
@@ -663,8 +665,13 @@
 		}
 	}
 
-	/** What is more urgent goes first, then what has begun, then what must begin soonest to be in time. */
-	private precedence(a: Live, b: Live): number {
+	/** What can be in time goes first, then what is more urgent, then what has begun, then what must begin soonest to be in time. */
+	private precedence(a: Live, b: Live, now: number): number {
+		const late = this.policy.lateLast ? Number(this.isTooLate(a, now)) - Number(this.isTooLate(b, now)) : 0;
+		if (late !== 0) {
+			return late;
+		}
+
 		if (this.policy.urgentFirst && a.job.priority !== b.job.priority) {
 			return a.job.priority - b.job.priority;
 		}
@@ -673,6 +680,11 @@
 		return begun === 0 ? a.rank - b.rank : begun;
 	}
 
+	/** Says whether a job that has not begun can't be in time any more. */
+	private isTooLate(live: Live, now: number): boolean {
+		return now > live.rank && !this.hasRun(live);
+	}
+
 	/** Places the tasks of a job that wait, the longest first, as far as there is room. Returns the first for which there is none. */
 	private placeTasks(live: Live, now: number, actions: Action[]): Task | undefined {
 		for (const task of live.tasks) {
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -124,6 +124,16 @@
 	t.deepEqual(schedule.step(roomAt('a', 0), 9).map(action => short(action)), ['start j.0 at a as 1', 'start l.0 at a as 2']);
 });
 
+test('schedule: an entry that has only just found a place serves late what it could not serve in time, after what can be', t => {
+	const schedule = Schedule.create();
+	schedule.step(told('a', {others: room(8)}), 0);
+	schedule.step(submit({id: 'j'}), 0);
+	schedule.step(submit({id: 'k'}), 200);
+	t.false(schedule.step(tick, 230).some(({kind}) => kind === 'answer'));
+	t.deepEqual(schedule.step(roomAt('a', 6), 240).map(action => short(action)), ['start k.0 at a as 1']);
+	t.deepEqual(schedule.step(roomAt('a', 2), 250).map(action => short(action)), ['start j.0 at a as 2']);
+});
+
 test('schedule: an entry that has only just found a place lets jobs wait for others instead of refusing them', t => {
 	const schedule = Schedule.create();
 	schedule.step(told('a', {hindrance: 'unsettled'}), 0);
