--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -47,6 +47,22 @@
 	return executor;
 }
 
+type Drive = {seeds: readonly string[]; executor: Executor; meters?: DriverMeters};
+
+/** Starts a sidecar whose worker has reported itself; it ends with the test. */
+function drive(t: ExecutionContext, node: string, {seeds, executor, meters = DriverMeters.create()}: Drive): Driver {
+	const driver = Driver.create({
+		node, life: `${node}-1`, zone: 'z', seeds, leaseMs,
+	}, {
+		clock: systemClock, executor, log: quiet, meters,
+	});
+	t.teardown(async () => driver.stop(0));
+	driver.reported({
+		life: `w-${node}`, born: 1, pool: 'p', room, labels: [], draining: false,
+	}, 0);
+	return driver;
+}
+
 type Scene = {entries: Dispatcher[]; entryMeters: DispatchMeters[]; drivers: Driver[]; driverMeters: DriverMeters[]; workers: ModelWorker[]; executors: Array<Executor & {silent: boolean}>};
 
 /** Starts entries that know the first of them, and sidecars that know it too, each with a worker. */
@@ -67,25 +83,15 @@
 		const executor = executorOf(worker, {room: {...room, cpu: 4}, tookMs, ending: 'done'});
 		const meters = DriverMeters.create();
 		scene.driverMeters.push(meters);
-		const driver = Driver.create({
-			node: `s${index}`, life: `s${index}-1`, zone: 'z', seeds: [scene.entries[0]!.address], leaseMs,
-		}, {
-			clock: systemClock, executor, log: quiet, meters,
-		});
-		driver.reported({
-			life: `w${index}`, born: 1, pool: 'p', room, labels: [], draining: false,
-		}, 0);
 		scene.workers.push(worker);
 		scene.executors.push(executor);
-		scene.drivers.push(driver);
+		scene.drivers.push(drive(t, `s${index}`, {seeds: [scene.entries[0]!.address], executor, meters}));
 	}
 
-	t.teardown(async () => {
+	t.teardown(() => {
 		for (const entry of scene.entries) {
 			entry.close();
 		}
-
-		await Promise.all(scene.drivers.map(async driver => driver.stop(0)));
 	});
 	return scene;
 }
@@ -200,10 +206,8 @@
 	const worker = ModelWorker.create(room, leaseMs);
 	const executor = executorOf(worker, {room: {...room, cpu: 4}, tookMs: 200, ending: 'done'}, 0.5);
 	const ahead: number[] = [];
-	const driver = Driver.create({
-		node: 'slow', life: 'slow-1', zone: 'z', seeds: [entry!.address], leaseMs,
-	}, {
-		clock: systemClock,
+	drive(t, 'slow', {
+		seeds: [entry!.address],
 		executor: {
 			...executor,
 			async start(order, life) {
@@ -211,13 +215,7 @@
 				return executor.start(order, life);
 			},
 		},
-		log: quiet,
-		meters: DriverMeters.create(),
 	});
-	t.teardown(async () => driver.stop(0));
-	driver.reported({
-		life: 'w', born: 1, pool: 'p', room, labels: [], draining: false,
-	}, 0);
 	await until(() => entry!.schedule.reach.open === 1);
 	for (let index = 0; index < 6; index++) {
 		t.deepEqual(await submit(entry!, job(`j${index}`)), {kind: 'completed'});
@@ -229,10 +227,8 @@
 test('ephemeral: a worker that refuses looks is asked again after a pause', async t => {
 	let looks = 0;
 	const from = systemClock.mono();
-	const driver = Driver.create({
-		node: 's', life: 's-1', zone: 'z', seeds: [], leaseMs,
-	}, {
-		clock: systemClock,
+	drive(t, 's', {
+		seeds: [],
 		executor: {
 			...executorOf(ModelWorker.create(room, leaseMs), {room, tookMs: 1, ending: 'done'}),
 			async renew() {
@@ -240,13 +236,7 @@
 				return {kind: 'refused', reason: 'other-life'};
 			},
 		},
-		log: quiet,
-		meters: DriverMeters.create(),
 	});
-	t.teardown(async () => driver.stop(0));
-	driver.reported({
-		life: 'w', born: 1, pool: 'p', room, labels: [], draining: false,
-	}, 0);
 	await systemClock.sleep(400);
 	// One a pause of 50 ms, and one that may have begun before it.
 	t.true(looks <= ((systemClock.mono() - from) / 50) + 1, `${looks} looks`);
@@ -257,6 +247,6 @@
 	await until(() => first!.schedule.reach.open === 1 && second!.schedule.reach.open === 1);
 	first!.adopt(7, '[]', ['z']);
 	await until(() => second!.schedule.reach.open === 0);
-	const verdict = await submit(second!, job('j'));
+	const verdict = await submit(second!, {...job('j'), aimMs: 100});
 	t.like(verdict, {kind: 'refused', why: 'no-place'});
 });
