--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -165,18 +165,6 @@
 		return this.inherited ? 'unsettled' : undefined;
 	}
 
-	/** The room that is taken for an owner. */
-	used(owner: string): Room {
-		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
-		for (const {ask} of this.held.values()) {
-			if (ask.owner === owner) {
-				add(sum, ask.room, 1);
-			}
-		}
-
-		return sum;
-	}
-
 	/** The room that an owner can't have: taken by others or kept for them. */
 	takenFrom(owner: string, now: number): Room {
 		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
@@ -305,6 +293,17 @@
 		}
 	}
 
+	private used(owner: string): Room {
+		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
+		for (const {ask} of this.held.values()) {
+			if (ask.owner === owner) {
+				add(sum, ask.room, 1);
+			}
+		}
+
+		return sum;
+	}
+
 	private fits(owner: string, size: Room, now: number): boolean {
 		const free = {...this.worker!.room};
 		add(free, this.takenFrom(owner, now), -1);
--- a/src/entry/admin.ts
+++ b/src/entry/admin.ts
@@ -11,6 +11,7 @@
 	name, schemas, type ConfigTable, type Route,
 } from '../settings/schema.js';
 import type {Feed} from './feed.js';
+import {closeAnswered} from './listener.js';
 import {operatorDocument} from './openapi.js';
 import {checkValue, parseBody, sendError} from './problem.js';
 
@@ -71,12 +72,7 @@
 	app.addHook('onRequest', async request => {
 		checkToken(request, parts.token);
 	});
-	app.addHook('onSend', async (_request, reply) => {
-		if (parts.stopping()) {
-			// A connection that is kept would hold the stop up until it has been idle for over a minute.
-			void reply.header('connection', 'close');
-		}
-	});
+	closeAnswered(app, () => parts.stopping());
 	const operator = new Operator(parts);
 	for (const table of tables) {
 		app.get(`/v1/admin/${table}`, async () => operator.list(table));
--- a/src/entry/front.ts
+++ b/src/entry/front.ts
@@ -8,6 +8,7 @@
 import {name, type Route} from '../settings/schema.js';
 import type {Feed} from './feed.js';
 import type {Jobs} from './jobs.js';
+import {closeAnswered} from './listener.js';
 import type {Meters} from './metrics.js';
 import {callerDocument} from './openapi.js';
 import {
@@ -58,14 +59,7 @@
 	app.addHook('onResponse', async (request, reply) => {
 		parts.meters.answered(request.routeOptions.url ?? '', String(reply.getHeader('sniperidge-result') ?? ''));
 	});
-	app.addHook('onSend', async (_request, reply) => {
-		if (parts.jobs.draining) {
-			// So that no caller sends its next request on a connection that is about to be closed.
-			void reply.header('connection', 'close');
-		} else {
-			void reply.headers({connection: 'keep-alive', 'keep-alive': `timeout=${keepAliveMs / 1000}`});
-		}
-	});
+	closeAnswered(app, () => parts.jobs.draining, {connection: 'keep-alive', 'keep-alive': `timeout=${keepAliveMs / 1000}`});
 	const front = new Front(parts);
 	app.put('/v1/jobs/:key', async (request, reply) => front.put(request, reply));
 	app.get('/v1/jobs/:key', async (request, reply) => front.get(request, reply));
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import {setImmediate as turn} from 'node:timers/promises';
+import type {FastifyInstance} from 'fastify';
 
 /**
  * Stops listening without a reset for callers whose connection the kernel has taken and this process has
@@ -33,3 +34,10 @@
 		});
 	});
 }
+
+/** Has answers say that their connection is closed with them once a server stops, since one that is kept would hold the stop up; `kept` are the headers before that. */
+export function closeAnswered(app: FastifyInstance, stopping: () => boolean, kept: Record<string, string> = {}): void {
+	app.addHook('onSend', async (_request, reply) => {
+		void reply.headers(stopping() ? {connection: 'close'} : kept);
+	});
+}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -5,8 +5,9 @@
 } from '../decide/schedule.js';
 import type {Clock} from '../ports/clock.js';
 import type {DispatchMeters} from './meters.js';
+import {Book} from './book.js';
 import {
-	dial, listen, splitAddress, type Link, type LinkEnd, type Receiver,
+	listen, splitAddress, type Link, type LinkEnd, type Receiver,
 } from './link.js';
 import type {Message, Stamp, ToEntry} from './messages.js';
 
@@ -22,11 +23,9 @@
 
 /** How often waiting jobs are looked at, in milliseconds. */
 const tickMs = 20;
-/** How often a lost entry is dialled, in milliseconds, and for how long unless it is a seed. */
+/** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 500;
-const forgetMs = 60_000;
 
-type Known = {address: string; link?: Link; dialling: boolean; since: number; seed: boolean};
 type Sidecar = {link: Link; stamp: Stamp; stampedAt: number};
 type Waiter = (verdict: Verdict) => void;
 
@@ -41,7 +40,7 @@
 		const [host] = splitAddress(settings.address);
 		dispatcher.server = server;
 		dispatcher.address = `${host}:${(server.address() as AddressInfo).port}`;
-		dispatcher.redial();
+		dispatcher.book.open();
 		return dispatcher;
 	}
 
@@ -55,7 +54,7 @@
 	private server?: Server;
 	private readonly sidecars = new Map<string, Sidecar>();
 	private readonly entries = new Set<Link>();
-	private readonly known = new Map<string, Known>();
+	private readonly book: Book;
 	private readonly waiters = new Map<string, Set<Waiter>>();
 	private desired: {asOf: number; text: string} = {asOf: 0, text: ''};
 	private out: readonly string[] = [];
@@ -64,7 +63,7 @@
 	private alarm?: NodeJS.Timeout;
 	/** The addresses of entries as sidecars were told of last. */
 	private toldAddresses = '';
-	private readonly timers: NodeJS.Timeout[];
+	private readonly timer: NodeJS.Timeout;
 
 	private constructor(
 		private readonly settings: DispatcherSettings,
@@ -73,17 +72,18 @@
 		private readonly meters: DispatchMeters,
 	) {
 		this.address = settings.address;
+		this.book = Book.create({
+			clock, receiver: this, redialMs, own: () => this.address, opened: link => {
+				this.hello(link);
+				this.tellAddresses();
+			},
+		});
 		this.know(settings.seeds, true);
-		this.timers = [
-			setInterval(() => {
-				if (this.schedule.size > 0) {
-					this.apply({kind: 'tick'});
-				}
-			}, tickMs),
-			setInterval(() => {
-				this.redial();
-			}, redialMs),
-		];
+		this.timer = setInterval(() => {
+			if (this.schedule.size > 0) {
+				this.apply({kind: 'tick'});
+			}
+		}, tickMs);
 	}
 
 	/**
@@ -128,13 +128,7 @@
 
 	/** Learns addresses of other entries. */
 	know(addresses: readonly string[], seed = false): void {
-		for (const address of addresses) {
-			if (address !== this.address && !this.known.has(address)) {
-				this.known.set(address, {
-					address, dialling: false, since: this.clock.mono(), seed,
-				});
-			}
-		}
+		this.book.know(addresses, seed);
 	}
 
 	/** Admits from now on only what should end within a time, in milliseconds. */
@@ -144,10 +138,8 @@
 
 	/** Ends all links. */
 	close(): void {
-		for (const timer of this.timers) {
-			clearInterval(timer);
-		}
-
+		clearInterval(this.timer);
+		this.book.close();
 		clearTimeout(this.alarm);
 		this.server?.close();
 		for (const {link} of this.sidecars.values()) {
@@ -200,13 +192,7 @@
 
 	ended(link: Link, why: LinkEnd): void {
 		this.entries.delete(link);
-		for (const known of this.known.values()) {
-			if (known.link === link) {
-				known.link = undefined;
-				known.since = this.clock.mono();
-			}
-		}
-
+		this.book.ended(link);
 		const {peer} = link;
 		if (!peer) {
 			return;
@@ -255,13 +241,8 @@
 	}
 
 	private greetEntry(link: Link, address: string | undefined): void {
-		if (address) {
-			this.know([address]);
-			const known = this.known.get(address);
-			if (known && !known.link) {
-				known.link = link;
-				this.hello(link);
-			}
+		if (address && this.book.accept(address, link)) {
+			this.hello(link);
 		}
 
 		this.entries.add(link);
@@ -423,34 +404,6 @@
 	}
 
 	private addresses(): string[] {
-		return [this.address, ...[...this.known.values()].filter(({link}) => link?.alive).map(({address}) => address)];
-	}
-
-	private redial(): void {
-		for (const known of this.known.values()) {
-			if (!known.seed && !known.link && this.clock.mono() - known.since > forgetMs) {
-				this.known.delete(known.address);
-			} else if (!known.link && !known.dialling) {
-				void this.open(known);
-			}
-		}
-	}
-
-	private async open(known: Known): Promise<void> {
-		known.dialling = true;
-		const link = await dial(known.address, this.clock, this);
-		known.dialling = false;
-		if (!link) {
-			return;
-		}
-
-		if (known.link) {
-			link.close();
-			return;
-		}
-
-		known.link = link;
-		this.hello(link);
-		this.tellAddresses();
+		return [this.address, ...this.book.reached];
 	}
 }
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -9,9 +9,8 @@
 } from '../ports/executor.js';
 import {deferred} from '../deferred.js';
 import type {DriverMeters} from './meters.js';
-import {
-	dial, type Link, type LinkEnd, type Receiver,
-} from './link.js';
+import {Book} from './book.js';
+import type {Link, LinkEnd, Receiver} from './link.js';
 import type {Message, ToSidecar} from './messages.js';
 
 /** DriverSettings are what a sidecar needs to know to drive its worker. */
@@ -45,11 +44,8 @@
 const pauseMs = 50;
 /** By how many times that pause grows while it stays away. */
 const pauseLimit = 6;
-/** How often a lost entry is dialled, in milliseconds, and for how long unless it is a seed. */
+/** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 250;
-const forgetMs = 60_000;
-
-type Known = {address: string; link?: Link; dialling: boolean; since: number; seed: boolean};
 
 /**
  * Driver is a sidecar's side of jobs kept in memory: it carries out what its guard decides at the
@@ -62,7 +58,7 @@
 
 	readonly guard = Guard.create();
 
-	private readonly known = new Map<string, Known>();
+	private readonly book: Book;
 	private readonly links = new Set<Link>();
 	private fence = 0;
 	private fenceRefusals = 0;
@@ -76,7 +72,6 @@
 	private wake = deferred<void>();
 	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
 	private closed = false;
-	private readonly timer: NodeJS.Timeout;
 
 	private readonly clock: Clock;
 	private readonly executor: Executor;
@@ -87,11 +82,15 @@
 		({
 			clock: this.clock, executor: this.executor, log: this.log, meters: this.meters,
 		} = parts);
+		this.book = Book.create({
+			clock: this.clock, receiver: this, redialMs, own: () => undefined, opened(link) {
+				link.send({
+					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.life,
+				});
+			},
+		});
 		this.know(settings.seeds, true);
-		this.timer = setInterval(() => {
-			this.redial();
-		}, redialMs);
-		this.redial();
+		this.book.open();
 		void this.watch();
 	}
 
@@ -120,13 +119,7 @@
 
 	/** Learns addresses where entries may be found. */
 	know(addresses: readonly string[], seed = false): void {
-		for (const address of addresses) {
-			if (!this.known.has(address)) {
-				this.known.set(address, {
-					address, dialling: false, since: this.clock.mono(), seed,
-				});
-			}
-		}
+		this.book.know(addresses, seed);
 	}
 
 	/** Takes in that a life of the worker has ended in an orderly way. */
@@ -144,7 +137,7 @@
 		}
 
 		this.closed = true;
-		clearInterval(this.timer);
+		this.book.close();
 		for (const link of this.links) {
 			link.close();
 		}
@@ -186,13 +179,7 @@
 
 	ended(link: Link, why: LinkEnd): void {
 		this.links.delete(link);
-		for (const known of this.known.values()) {
-			if (known.link === link) {
-				known.link = undefined;
-				known.since = this.clock.mono();
-			}
-		}
-
+		this.book.ended(link);
 		if (link.peer) {
 			this.log.warn({
 				event: 'entry-lost', entry: link.peer.node, why, tasks: this.guard.tasksOf(ownerOf(link)),
@@ -483,26 +470,6 @@
 	private linkOf(owner: string): Link | undefined {
 		return [...this.links].find(link => ownerOf(link) === owner);
 	}
-
-	private redial(): void {
-		for (const known of this.known.values()) {
-			if (!known.seed && !known.link && this.clock.mono() - known.since > forgetMs) {
-				this.known.delete(known.address);
-			} else if (!known.link && !known.dialling) {
-				void this.open(known);
-			}
-		}
-	}
-
-	private async open(known: Known): Promise<void> {
-		known.dialling = true;
-		const link = await dial(known.address, this.clock, this);
-		known.dialling = false;
-		known.link = link;
-		link?.send({
-			kind: 'hello', role: 'sidecar', node: this.settings.node, life: this.settings.life,
-		});
-	}
 }
 
 /** The name of the entry's life at the other end. */
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -22,6 +22,8 @@
 			rmSync(folder, {recursive: true});
 		});
 		copyFileSync('platform/load.js', join(folder, 'program.mjs'));
+		copyFileSync('platform/script.js', join(folder, 'script.js'));
+		writeFileSync(join(folder, 'package.json'), '{"type": "module"}');
 		writeFileSync(join(folder, 'program.cjs'), source);
 		const data = cache();
 		if (data) {
