A malformed message costs its connection, never the process

Cause: what came on a link was cast to its type unchecked.

Ruled out: worker answers and the operator's rows, which were decoded field by field already (fuzzed, nothing found).

An error while a message, a report or a look is handled ends that link or answer. Each has one log line with field and peer, and a counter. Kinds that are not known are passed over, so that versions may mix.

A link test sends its hello first now; it checks that this arrives too.

--- a/src/ephemeral/book.ts
+++ b/src/ephemeral/book.ts
@@ -1,5 +1,7 @@
 import type {Clock} from '../ports/clock.js';
-import {dial, type Link, type Receiver} from './link.js';
+import {
+	dial, isAddress, type Link, type Receiver,
+} from './link.js';
 
 /** How long an address that cannot be reached is kept unless it is a seed, in milliseconds. */
 const forgetMs = 60_000;
@@ -48,10 +50,10 @@
 		clearInterval(this.timer);
 	}
 
-	/** Learns addresses. */
+	/** Learns addresses. What is none is passed over: it can come from a row that somebody else wrote. */
 	know(addresses: readonly string[], seed = false): void {
 		for (const address of addresses) {
-			if (address !== this.parts.own() && !this.known.has(address)) {
+			if (isAddress(address) && address !== this.parts.own() && !this.known.has(address)) {
 				this.known.set(address, {
 					address, dialling: false, since: this.parts.clock.mono(), seed,
 				});
@@ -59,16 +61,13 @@
 		}
 	}
 
-	/** Takes a link that the other side dialled as the one to its address, unless there is one. Returns whether it did. */
-	accept(address: string, link: Link): boolean {
+	/** Takes a link that the other side dialled as the one to its address, unless there is one. */
+	accept(address: string, link: Link): void {
 		this.know([address]);
 		const known = this.known.get(address);
-		if (!known || known.link) {
-			return false;
+		if (known) {
+			known.link ??= link;
 		}
-
-		known.link = link;
-		return true;
 	}
 
 	/** Takes in that a link has ended. */
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -9,7 +9,7 @@
 import {
 	listen, splitAddress, type Link, type LinkEnd, type Receiver,
 } from './link.js';
-import type {Message, Stamp, ToEntry} from './messages.js';
+import type {Gossip, Message, ToEntry} from './messages.js';
 
 /** DispatcherSettings are what an entry needs to know to dispatch jobs kept in memory. */
 export type DispatcherSettings = {
@@ -26,7 +26,8 @@
 /** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 500;
 
-type Sidecar = {link: Link; stamp: Stamp; stampedAt: number};
+/** Sidecar is one with a link: its worker's clock in milliseconds, as it told it last, and when. */
+type Sidecar = {link: Link; stamp: number; stampedAt: number};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -167,14 +168,10 @@
 				break;
 			}
 
-			case 'entries': {
-				this.know(message.addresses);
-				break;
-			}
-
+			case 'entries':
 			case 'desired': {
-				if (message.asOf > this.desired.asOf) {
-					this.onDesired?.(message.asOf, message.text);
+				if (link.peer?.role === 'entry') {
+					this.gossip(message);
 				}
 
 				break;
@@ -190,24 +187,46 @@
 		}
 	}
 
-	ended(link: Link, why: LinkEnd): void {
+	ended(link: Link, why: LinkEnd, problem?: string): void {
 		this.entries.delete(link);
 		this.book.ended(link);
 		const {peer} = link;
-		if (!peer) {
+		if (!peer && !problem) {
 			return;
 		}
 
 		this.meters.linksLost.inc({why});
+		this.meters.malformed.inc({from: peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
 		this.log.warn({
-			event: 'link-lost', node: peer.node, role: peer.role, why, tasks: this.schedule.tasksAt(peer.node),
+			event: 'link-lost', node: peer?.node, role: peer?.role, remote: link.remote, why, problem, tasks: peer && this.schedule.tasksAt(peer.node),
 		}, 'link lost');
+		if (!peer) {
+			return;
+		}
+
 		if (this.sidecars.get(peer.node)?.link === link) {
 			this.sidecars.delete(peer.node);
 			this.apply({kind: 'down', place: peer.node});
 		}
 	}
 
+	private gossip(message: Gossip): void {
+		switch (message.kind) {
+			case 'entries': {
+				this.know(message.addresses);
+				break;
+			}
+
+			case 'desired': {
+				if (message.asOf > this.desired.asOf) {
+					this.onDesired?.(message.asOf, message.text);
+				}
+
+				break;
+			}
+		}
+	}
+
 	private leave(job: string, answer: Waiter): void {
 		const waiters = this.waiters.get(job);
 		if (!waiters?.delete(answer) || waiters.size > 0) {
@@ -241,10 +260,11 @@
 	}
 
 	private greetEntry(link: Link, address: string | undefined): void {
-		if (address && this.book.accept(address, link)) {
-			this.hello(link);
+		if (address) {
+			this.book.accept(address, link);
 		}
 
+		this.hello(link);
 		this.entries.add(link);
 		link.send({kind: 'entries', addresses: this.addresses()});
 		if (this.desired.asOf > 0) {
@@ -320,7 +340,7 @@
 		}
 	}
 
-	private date(sidecar: Sidecar, stamp: Stamp): void {
+	private date(sidecar: Sidecar, stamp: number): void {
 		sidecar.stamp = stamp;
 		sidecar.stampedAt = this.clock.mono();
 	}
@@ -398,7 +418,7 @@
 
 	private hello(link: Link): void {
 		const {node, life} = this.settings;
-		link.send({
+		link.greet({
 			kind: 'hello', role: 'entry', node, life, address: this.address,
 		});
 	}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -84,7 +84,7 @@
 		} = parts);
 		this.book = Book.create({
 			clock: this.clock, receiver: this, redialMs, own: () => undefined, opened(link) {
-				link.send({
+				link.greet({
 					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.life,
 				});
 			},
@@ -146,6 +146,11 @@
 	}
 
 	receive(message: Message, link: Link): void {
+		if (link.peer?.role !== 'entry') {
+			link.close('malformed', 'only entries give orders');
+			return;
+		}
+
 		switch (message.kind) {
 			case 'hello': {
 				this.welcome(link);
@@ -177,14 +182,19 @@
 		}
 	}
 
-	ended(link: Link, why: LinkEnd): void {
+	ended(link: Link, why: LinkEnd, problem?: string): void {
 		this.links.delete(link);
 		this.book.ended(link);
+		if (!link.peer && !problem) {
+			return;
+		}
+
+		this.meters.linksLost.inc({why});
+		this.meters.malformed.inc({from: link.peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
+		this.log.warn({
+			event: 'entry-lost', entry: link.peer?.node, remote: link.remote, why, problem, tasks: link.peer && this.guard.tasksOf(ownerOf(link)),
+		}, 'link to an entry lost; its runs are stopped');
 		if (link.peer) {
-			this.log.warn({
-				event: 'entry-lost', entry: link.peer.node, why, tasks: this.guard.tasksOf(ownerOf(link)),
-			}, 'link to an entry lost; its runs are stopped');
-			this.meters.linksLost.inc({why});
 			this.apply({kind: 'ownerLost', owner: ownerOf(link)});
 		}
 	}
@@ -351,27 +361,37 @@
 				continue;
 			}
 
-			const askedAt = this.clock.mono();
-			if (this.unanswered === 0) {
-				this.answeredAt = askedAt;
+			try {
+				await this.renew(worker);
+			} catch (error) {
+				// Without renewals all runs would lapse, so an answer that can't be handled costs that answer only.
+				this.log.error({event: 'look-failed', error: (error as Error).stack}, 'answer of the worker could not be handled');
+				await this.clock.sleep(pauseMs);
 			}
+		}
+	}
 
-			// What did not answer for as long as a lease lasts is left to lapse, so that its runs are certainly over some time.
-			const renews = askedAt - this.answeredAt < this.settings.leaseMs;
-			if (renews) {
-				this.renewedAt = askedAt;
-			}
+	private async renew(worker: Worker): Promise<void> {
+		const askedAt = this.clock.mono();
+		if (this.unanswered === 0) {
+			this.answeredAt = askedAt;
+		}
 
-			const look = await this.executor.renew({
-				fence: this.fence,
-				leaseUntil: renews ? Math.floor(this.workerClock() + this.settings.leaseMs) : undefined,
-				seen: this.guard.seen,
-				waitMs: this.waitMs(askedAt),
-				marginMs: Math.min(marginMostMs, marginMs * (2 ** this.unanswered)),
-			}, worker.life);
-			this.learn(look);
-			await this.take(look, askedAt);
+		// What did not answer for as long as a lease lasts is left to lapse, so that its runs are certainly over some time.
+		const renews = askedAt - this.answeredAt < this.settings.leaseMs;
+		if (renews) {
+			this.renewedAt = askedAt;
 		}
+
+		const look = await this.executor.renew({
+			fence: this.fence,
+			leaseUntil: renews ? Math.floor(this.workerClock() + this.settings.leaseMs) : undefined,
+			seen: this.guard.seen,
+			waitMs: this.waitMs(askedAt),
+			marginMs: Math.min(marginMostMs, marginMs * (2 ** this.unanswered)),
+		}, worker.life);
+		this.learn(look);
+		await this.take(look, askedAt);
 	}
 
 	private async take(look: Look, askedAt: number): Promise<void> {
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
-import type {Message} from './messages.js';
+import {readMessage, type Hello, type Message} from './messages.js';
 
 /** How often a side that has nothing else to send says that it is alive, in milliseconds. */
 export const beatMs = 200;
@@ -14,15 +14,17 @@
 const connectMs = 500;
 /** What may wait to be sent before a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
+/** The longest line that is read, in characters: a desired state of thousands of routes takes under a tenth. */
+const lineLimit = 16_000_000;
 
 /** Why a link ended. */
-export type LinkEnd = 'closed' | 'silent' | 'stuck' | 'malformed' | 'refused';
+export type LinkEnd = 'closed' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
 /** Receiver takes what arrives on a link. */
 export type Receiver = {
 	receive(message: Message, link: Link): void;
-	/** Called once, when the link is over. */
-	ended(link: Link, why: LinkEnd): void;
+	/** Called once, when the link is over. `problem` says what was wrong with a message that ended it. */
+	ended(link: Link, why: LinkEnd, problem?: string): void;
 	/** Called before messages are sent, to add one that dates or sums up the others. */
 	beforeFlush?(link: Link): void;
 };
@@ -40,9 +42,15 @@
 		return new Link(socket, clock, receiver);
 	}
 
-	/** What the other side said of itself, once it has. */
-	peer?: {node: string; life: string; role: 'entry' | 'sidecar'; address?: string};
+	/** What the other side said of itself, once it has. Nothing else is taken from it before. */
+	peer?: Hello;
+	/** Messages of kinds that are not known here, as a later version may send. */
+	unknown = 0;
 
+	/** The other side's network address, as host:port. */
+	readonly remote: string;
+
+	private greeted = false;
 	private heardAt: number;
 	private sentAt: number;
 	private pending: Message[] = [];
@@ -53,6 +61,7 @@
 	private readonly timer: NodeJS.Timeout;
 
 	private constructor(private readonly socket: Socket, private readonly clock: Clock, private readonly receiver: Receiver) {
+		this.remote = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.heardAt = clock.mono();
 		this.sentAt = this.heardAt;
 		socket.setNoDelay(true);
@@ -75,6 +84,14 @@
 		return !this.over;
 	}
 
+	/** Says who this side is, unless it has. */
+	greet(hello: Hello): void {
+		if (!this.greeted) {
+			this.greeted = true;
+			this.send(hello);
+		}
+	}
+
 	/** Sends a message with the others of this turn. */
 	send(message: Message): void {
 		if (this.over) {
@@ -90,9 +107,9 @@
 		}
 	}
 
-	/** Ends the link. */
-	close(why: LinkEnd = 'closed'): void {
-		this.end(why);
+	/** Ends the link, for a reason that its receiver is told. */
+	close(why: LinkEnd = 'closed', problem?: string): void {
+		this.end(why, problem);
 	}
 
 	private flush(): void {
@@ -129,34 +146,78 @@
 		this.heardAt = this.clock.mono();
 		const lines = (this.rest + this.decoder.write(Buffer.from(chunk))).split('\n');
 		this.rest = lines.pop()!;
+		if (this.rest.length > lineLimit) {
+			this.end('malformed', `a line of over ${lineLimit} characters`);
+			return;
+		}
+
 		for (const line of lines) {
-			let messages: Message[];
-			try {
-				messages = JSON.parse(line) as Message[];
-			} catch {
-				this.end('malformed');
+			this.readLine(line);
+		}
+	}
+
+	private readLine(line: string): void {
+		let values: unknown;
+		try {
+			values = JSON.parse(line);
+		} catch (error) {
+			this.end('malformed', (error as Error).message);
+			return;
+		}
+
+		if (!Array.isArray(values)) {
+			this.end('malformed', 'expected a list of messages');
+			return;
+		}
+
+		for (const value of values) {
+			if (this.over) {
 				return;
 			}
 
-			for (const message of messages) {
-				if (!this.over) {
-					this.take(message);
+			const reading = readMessage(value);
+			switch (reading.kind) {
+				case 'message': {
+					this.take(reading.message);
+					break;
+				}
+
+				case 'unknown': {
+					this.unknown++;
+					break;
+				}
+
+				case 'malformed': {
+					this.end('malformed', reading.problem);
+					break;
 				}
 			}
 		}
 	}
 
 	private take(message: Message): void {
+		if (message.kind === 'beat') {
+			return;
+		}
+
+		if ((message.kind === 'hello') !== (this.peer === undefined)) {
+			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
+			return;
+		}
+
 		if (message.kind === 'hello') {
 			this.peer = message;
 		}
 
-		if (message.kind !== 'beat') {
+		try {
 			this.receiver.receive(message, this);
+		} catch (error) {
+			// One message that cannot be handled costs its link, not the process.
+			this.end('failed', `${message.kind}: ${(error as Error).stack ?? String(error)}`);
 		}
 	}
 
-	private end(why: LinkEnd): void {
+	private end(why: LinkEnd, problem?: string): void {
 		if (this.over) {
 			return;
 		}
@@ -164,7 +225,7 @@
 		this.over = true;
 		clearInterval(this.timer);
 		this.socket.destroy();
-		this.receiver.ended(this, why);
+		this.receiver.ended(this, why, problem);
 	}
 }
 
@@ -202,6 +263,12 @@
 	});
 }
 
+/** Says whether a text is an address that can be dialled, as host:port. */
+export function isAddress(text: string): boolean {
+	const [host, port] = splitAddress(text);
+	return /^[^\s:]+$/v.test(host) && /:\d+$/v.test(text) && port > 0 && port < 65_536;
+}
+
 /** Splits host:port. */
 export function splitAddress(address: string): [host: string, port: number] {
 	const colon = address.lastIndexOf(':');
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -1,44 +1,99 @@
-import type {Hindrance, Outcome} from '../decide/guard.js';
-import type {Room} from '../decide/room.js';
-import type {PlaceReport} from '../decide/schedule.js';
+import * as z from 'zod';
+import type {Hindrance} from '../decide/guard.js';
+
+const room = z.object({cpu: z.number(), memoryMb: z.number(), accelerators: z.number()});
+const hindrance = z.enum([
+	'room', 'draining', 'stopping', 'zone-out', 'absent', 'unsettled', 'stale', 'duplicate', 'withdrawn', 'fence', 'old', 'late', 'unwell', 'other-life', 'invalid',
+]) satisfies z.ZodType<Hindrance>;
+/** What dates a sidecar's messages: its worker's clock in milliseconds, so that orders that answer it can be dated too. */
+const stamp = z.number();
+const ref = z.int();
 
 /** Hello is the first message on a link, either way. `life` is new each time the process starts. */
-export type Hello = {
-	kind: 'hello';
-	role: 'entry' | 'sidecar';
-	node: string;
-	life: string;
+const hello = z.object({
+	kind: z.literal('hello'),
+	role: z.enum(['entry', 'sidecar']),
+	node: z.string().min(1),
+	life: z.string().min(1),
 	/** Where an entry listens for links, as host:port. */
-	address?: string;
-};
-
-/** Stamp dates what a sidecar sends by its worker's clock, in milliseconds, so that orders that answer it can be dated too. */
-export type Stamp = number;
+	address: z.string().optional(),
+});
 
-/** ToEntry is what a sidecar sends to an entry. */
-export type ToEntry
-	= | {kind: 'place'; report: PlaceReport; stamp: Stamp; clear: boolean}
-		| {kind: 'room'; others: Room; stamp: Stamp; clear: boolean}
+/** What a sidecar sends to an entry. */
+const toEntry = [
+	z.object({
+		kind: z.literal('place'),
+		report: z.object({
+			zone: z.string(), pool: z.string(), room, others: room, hindrance: hindrance.optional(),
+		}),
+		stamp,
+		clear: z.boolean(),
+	}),
+	z.object({
+		kind: z.literal('room'), others: room, stamp, clear: z.boolean(),
+	}),
 	/** The room that the entry wanted is kept for it; how much there is follows. */
-		| {kind: 'offer'}
-		| {kind: 'refused'; ref: number; why: Hindrance}
-		| {kind: 'ended'; ref: number; outcome: Outcome; ranMs: number};
+	z.object({kind: z.literal('offer')}),
+	z.object({kind: z.literal('refused'), ref, why: hindrance}),
+	z.object({
+		kind: z.literal('ended'), ref, outcome: z.enum(['done', 'failed', 'lost']), ranMs: z.number(),
+	}),
+] as const;
 
-/** ToSidecar is what an entry sends to a sidecar. */
-export type ToSidecar
+/** What an entry sends to a sidecar. */
+const toSidecar = [
 	/** `age` is how long the entry has had the stamp, in milliseconds. */
-	= | {kind: 'start'; ref: number; task: string; room: Room; spec: string; stamp: Stamp; age: number}
-		| {kind: 'stop'; ref: number}
+	z.object({
+		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string(), stamp, age: z.number(),
+	}),
+	z.object({kind: z.literal('stop'), ref}),
 	/** A task of this size waits for room and should begin within `dueMs`. */
-		| {kind: 'want'; room: Room; dueMs: number}
-		| {kind: 'zones'; asOf: number; out: readonly string[]};
+	z.object({kind: z.literal('want'), room, dueMs: z.number()}),
+	z.object({kind: z.literal('zones'), asOf: z.number(), out: z.array(z.string()).readonly()}),
+] as const;
 
-/** Gossip is what entries tell each other and, of addresses, their sidecars. */
-export type Gossip
+/** What entries tell each other and, of addresses, their sidecars. */
+const gossip = [
 	/** The addresses of entries that are up. */
-	= | {kind: 'entries'; addresses: readonly string[]}
+	z.object({kind: z.literal('entries'), addresses: z.array(z.string()).readonly()}),
 	/** The newest desired state, as the platform gave it out; `asOf` orders them. */
-		| {kind: 'desired'; asOf: number; text: string};
+	z.object({kind: z.literal('desired'), asOf: z.number(), text: z.string()}),
+] as const;
+
+/** Says only that its sender is alive. */
+const beat = z.object({kind: z.literal('beat')});
+
+const all = [hello, ...toEntry, ...toSidecar, ...gossip, beat] as const;
+const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
+
+export type Hello = z.infer<typeof hello>;
+export type ToEntry = z.infer<typeof toEntry[number]>;
+export type ToSidecar = z.infer<typeof toSidecar[number]>;
+export type Gossip = z.infer<typeof gossip[number]>;
+
+/** Message is what travels on a link. */
+export type Message = Hello | ToEntry | ToSidecar | Gossip | z.infer<typeof beat>;
+
+/** Reading is what a link makes of a value: a message, one of a kind that a later version may send, or what is wrong with it. */
+export type Reading
+	= | {kind: 'message'; message: Message}
+		| {kind: 'unknown'; name: string}
+		| {kind: 'malformed'; problem: string};
+
+/** Decodes one message. */
+export function readMessage(value: unknown): Reading {
+	const name = typeof value === 'object' && value !== null ? (value as {kind?: unknown}).kind : undefined;
+	if (typeof name !== 'string') {
+		return {kind: 'malformed', problem: 'kind: expected the name of a message'};
+	}
+
+	const schema = schemas.get(name);
+	if (!schema) {
+		return {kind: 'unknown', name};
+	}
 
-/** Message is what travels on a link. A `beat` says only that its sender is alive. */
-export type Message = Hello | ToEntry | ToSidecar | Gossip | {kind: 'beat'};
+	const parsed = schema.safeParse(value);
+	return parsed.success
+		? {kind: 'message', message: parsed.data}
+		: {kind: 'malformed', problem: parsed.error.issues.map(({path, message}) => `${name}.${path.join('.')}: ${message}`).join('; ')};
+}
--- a/src/ephemeral/meters.ts
+++ b/src/ephemeral/meters.ts
@@ -34,6 +34,7 @@
 	readonly refusals = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
 	readonly ends = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
+	readonly malformed = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 	readonly storeCalls = counter(this.registry, 'store_calls_total', 'Calls to the platform\'s store by call and result.', ['call', 'result']);
 	readonly latency = new Histogram({
 		name: 'sniperidge_job_seconds', help: 'Time from a job\'s arrival to its answer.', labelNames: ['route', 'verdict'], buckets, registers: [this.registry],
@@ -64,6 +65,7 @@
 	readonly ends = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly unanswered = counter(this.registry, 'looks_unanswered_total', 'Looks at the worker without an answer.', []);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
+	readonly malformed = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 
 	/** Reads the rest whenever the metrics are asked for. */
 	watch({sink, runs, linked}: {sink: Sink; runs(): number; linked(): number}): void {
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -59,6 +59,10 @@
 	const {receiver, got} = keeper();
 	const address = await open(t, receiver);
 	const link = await dial(address, systemClock, keeper().receiver);
+	const hello = {
+		kind: 'hello', role: 'entry', node: 'n', life: 'l',
+	} as const;
+	link!.greet(hello);
 	const texts = Array.from({length: 500}, (_, index) => `${index}: ${'ž'.repeat(index)}`);
 	for (const [asOf, text] of texts.entries()) {
 		link!.send({kind: 'desired', asOf, text});
@@ -66,7 +70,7 @@
 
 	await systemClock.sleep(1000);
 	t.true(link!.alive);
-	t.deepEqual(got, texts.map((text, asOf) => ({kind: 'desired', asOf, text})));
+	t.deepEqual(got, [hello, ...texts.map((text, asOf) => ({kind: 'desired' as const, asOf, text}))]);
 	link!.close();
 });
 
