A schedule looks at one place when one place changes

Cause: each message about a place sorted all waiting jobs and tried each against all places, and a beat of a sidecar is such a message. Overload made an entry slow, and a slow entry made overload.

Ruled out: planning once a turn of the loop, which would leave most of the cost at a message a turn.

Change: what a pool had no room for is remembered by its least size. News of a place is weighed against that and fills that place alone; a task that is refused or fails is placed without the others; a task at least as large as one that has just found no room is not tried.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -23,6 +23,12 @@
 		return;
 	}
 
+	if (scenario === 'decide') {
+		const {timeDecisions} = await import('./decide.js');
+		timeDecisions([[11, 20], [160, 20], [160, 100], [160, 300], [314, 300]]);
+		return;
+	}
+
 	if (scenario === 'plan') {
 		const {comparePlans} = await import('./plan.js');
 		const [first = 1, last = first] = values.seeds.split('..').map(Number);
--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -91,10 +91,10 @@
 const settlingMs = 3000;
 /**
  * After how long a run at a place that is not heard from is certainly over, in milliseconds: the age at
- * which an ask is still taken (600), the silence after which a sidecar gives an entry up (700), a worker's
- * lease by a clock 2% slow (1020) and a stop (50), rounded up.
+ * which an ask is still taken (600), the silence after which a sidecar gives an entry up (700) and when it next
+ * looks (100), a worker's lease by a clock 2% slow (1020) and a stop (50), rounded up.
  */
-export const safeMs = 2400;
+export const safeMs = 2500;
 /** A task is taken to hang beyond this many times its expected time and this many milliseconds more. */
 const hangFactor = 3;
 const hangMs = 600;
@@ -171,14 +171,22 @@
 	id: string;
 	linked: boolean;
 	mine: Room;
+	/** Orders that are not settled. */
+	sent: number;
 	health: Health;
 	notBefore: number;
 	/** Whether it was told that something waits for its room, and has not offered any since. */
 	wanted: boolean;
 };
 
+/** Lack is what a pool had no room for: no more than each of the tasks there takes, and the most urgent of them. */
+type Lack = {least: Room; live: Live; task: Task};
+
 type Fading = {ref: number; place: string; until: number; lost: boolean};
 
+/** Standing is what decides the order of a job among others at a time; `late`: it has not begun and can't be in time any more. */
+type Standing = {late: boolean; priority: number; begun: boolean; rank: number};
+
 type Sent = {live: Live; task: Task; place: string; room: Room};
 
 /**
@@ -202,6 +210,8 @@
 	private readonly sent = new Map<number, Sent>();
 	/** Names of tasks whose jobs have ended and that may still run, so that a job submitted again starts none of them twice. */
 	private readonly fading = new Map<string, Fading>();
+	/** What waits for room since the last look at all places, by pool. */
+	private readonly lacks = new Map<string, Lack>();
 	private out: ReadonlySet<string> = new Set();
 	/** By when all must have ended because the entry stops. */
 	private stopsAt = Number.POSITIVE_INFINITY;
@@ -244,6 +254,11 @@
 		return [...this.sent.values()].filter(sent => sent.place === place).map(({task}) => task.spec.name);
 	}
 
+	/** The number of orders to a place that are not settled. */
+	sentTo(place: string): number {
+		return this.places.get(place)?.sent ?? 0;
+	}
+
 	/** Returns the name of the task that was sent under a reference, if it is not settled. */
 	taskOf(ref: number): string | undefined {
 		return this.sent.get(ref)?.task.spec.name;
@@ -285,7 +300,7 @@
 			case 'told': {
 				this.foundAt = Math.min(this.foundAt, now);
 				this.told(event.place, event.report);
-				this.place(now, actions);
+				this.fill(event.place, now, actions);
 				break;
 			}
 
@@ -294,9 +309,9 @@
 				if (place) {
 					place.others = event.others;
 					place.notBefore = 0;
+					this.fill(event.place, now, actions);
 				}
 
-				this.place(now, actions);
 				break;
 			}
 
@@ -320,14 +335,13 @@
 			}
 
 			case 'refused': {
-				this.refused(event, now);
-				this.place(now, actions);
+				this.refused(event, now, actions);
 				break;
 			}
 
 			case 'ended': {
 				this.ended(event, now, actions);
-				this.place(now, actions);
+				this.fill(event.place, now, actions);
 				break;
 			}
 
@@ -400,10 +414,11 @@
 	/** Estimates how long what goes before a job takes, worked off at the rate of all places of its pool together. */
 	private expectedMs(live: Live, now: number): number {
 		const {pool} = live.job;
+		const standing = this.standing(live, now);
 		let work = 0;
 		for (const other of this.jobs.values()) {
 			const {job, tasks} = other;
-			if (job.pool !== pool || this.precedence(other, live, now) > 0) {
+			if (job.pool !== pool || precedence(this.standing(other, now), standing) > 0) {
 				continue;
 			}
 
@@ -450,7 +465,7 @@
 		}
 
 		this.places.set(id, {
-			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, health: healthy, notBefore: 0, wanted: false,
+			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, health: healthy, notBefore: 0, wanted: false,
 		});
 	}
 
@@ -500,9 +515,9 @@
 		this.place(now, actions);
 	}
 
-	private refused({place: id, ref, why}: {place: string; ref: number; why: Hindrance}, now: number): void {
+	private refused({place: id, ref, why}: {place: string; ref: number; why: Hindrance}, now: number, actions: Action[]): void {
 		const sent = this.take(ref, id);
-		this.unfade(sent, ref);
+		this.unfade(sent, ref, now, actions);
 		const place = this.places.get(id);
 		if (place && why !== 'duplicate' && why !== 'withdrawn') {
 			place.notBefore = now + fullMs;
@@ -511,6 +526,9 @@
 		if (sent?.task.ref === ref && sent.task.state === 'placed') {
 			sent.task.state = 'waiting';
 			sent.task.notBefore = why === 'duplicate' ? now + duplicateMs : 0;
+			if (this.jobs.get(sent.live.job.id) === sent.live) {
+				this.placeJob(sent.live, now, actions);
+			}
 		}
 	}
 
@@ -518,7 +536,7 @@
 		place: id, ref, outcome, ranMs,
 	}: {place: string; ref: number; outcome: Outcome; ranMs: number}, now: number, actions: Action[]): void {
 		const sent = this.take(ref, id);
-		this.unfade(sent, ref);
+		this.unfade(sent, ref, now, actions);
 		if (!sent) {
 			return;
 		}
@@ -557,6 +575,8 @@
 				this.requeue(task, now);
 				if (task.failures >= live.job.attempts) {
 					this.finish(live, {kind: 'failed'}, now, actions);
+				} else {
+					this.placeJob(live, now, actions);
 				}
 
 				break;
@@ -565,6 +585,7 @@
 			case 'lost': {
 				task.avoid = id;
 				this.requeue(task, now);
+				this.placeJob(live, now, actions);
 				break;
 			}
 		}
@@ -630,22 +651,85 @@
 		return ran || tasks.some(({state}) => state !== 'waiting');
 	}
 
+	/** The jobs with tasks that wait, first what goes first. */
+	private waiting(now: number, pool?: string): Live[] {
+		return [...this.jobs.values()]
+			.filter(({job, tasks}) => (pool === undefined || job.pool === pool) && tasks.some(({state}) => state === 'waiting'))
+			.map(live => ({live, standing: this.standing(live, now)}))
+			.toSorted((a, b) => precedence(a.standing, b.standing))
+			.map(({live}) => live);
+	}
+
+	/** Places all that waits, as far as there is room. */
 	private place(now: number, actions: Action[]): void {
-		const waiting = [...this.jobs.values()]
-			.filter(({tasks}) => tasks.some(({state}) => state === 'waiting'))
-			.toSorted((a, b) => this.precedence(a, b, now));
-		const lacking = new Set<string>();
-		for (const live of waiting) {
+		this.lacks.clear();
+		for (const live of this.waiting(now)) {
 			const task = this.placeTasks(live, now, actions);
-			if (task && !lacking.has(live.job.pool)) {
-				lacking.add(live.job.pool);
-				this.want(live, task, now, actions);
+			if (task) {
+				this.note(live, task);
+			}
+		}
+
+		for (const lack of this.lacks.values()) {
+			this.want(lack, now, actions);
+		}
+	}
+
+	/** Places the tasks of one job that wait again, when all others that wait have found no room. */
+	private placeJob(live: Live, now: number, actions: Action[]): void {
+		const task = this.placeTasks(live, now, actions);
+		if (task) {
+			this.note(live, task);
+			this.want(this.lacks.get(live.job.pool)!, now, actions);
+		}
+	}
+
+	/** Fills the room of one place, after what is known of it has changed. Nothing that waits has found room elsewhere. */
+	private fill(id: string, now: number, actions: Action[]): void {
+		const place = this.places.get(id);
+		const lack = place && this.lacks.get(place.pool);
+		if (!lack || !this.isUsable(place, now)) {
+			return;
+		}
+
+		if (within(lack.least, freeRoom(place))) {
+			this.lacks.delete(place.pool);
+			for (const live of this.waiting(now, place.pool)) {
+				const task = this.placeTasks(live, now, actions, place);
+				if (task) {
+					this.note(live, task);
+				}
 			}
 		}
+
+		const left = this.lacks.get(place.pool);
+		if (left) {
+			this.want(left, now, actions);
+		}
+	}
+
+	/** Takes in that a task has found no room. */
+	private note(live: Live, task: Task): void {
+		const {room} = task.spec;
+		const lack = this.lacks.get(live.job.pool);
+		if (!lack) {
+			this.lacks.set(live.job.pool, {least: {...room}, live, task});
+			return;
+		}
+
+		lack.least.cpu = Math.min(lack.least.cpu, room.cpu);
+		lack.least.memoryMb = Math.min(lack.least.memoryMb, room.memoryMb);
+		lack.least.accelerators = Math.min(lack.least.accelerators, room.accelerators);
 	}
 
 	/** Asks the places of a pool for room for the most urgent task that has found none. */
-	private want({job: {pool}, rank}: Live, {spec: {room}}: Task, now: number, actions: Action[]): void {
+	private want({live, task}: Lack, now: number, actions: Action[]): void {
+		if (task.state !== 'waiting' || !this.jobs.has(live.job.id)) {
+			return;
+		}
+
+		const {job: {pool}, rank} = live;
+		const {room} = task.spec;
 		let asked = 0;
 		for (const place of this.places.values()) {
 			if (place.pool !== pool || !this.isOpen(place) || !within(room, place.room)) {
@@ -665,31 +749,25 @@
 		}
 	}
 
-	/** What can be in time goes first, then what is more urgent, then what has begun, then what must begin soonest to be in time. */
-	private precedence(a: Live, b: Live, now: number): number {
-		const late = this.policy.lateLast ? Number(this.isTooLate(a, now)) - Number(this.isTooLate(b, now)) : 0;
-		if (late !== 0) {
-			return late;
-		}
-
-		if (this.policy.urgentFirst && a.job.priority !== b.job.priority) {
-			return a.job.priority - b.job.priority;
-		}
-
-		const begun = this.policy.begunFirst ? Number(this.hasRun(b)) - Number(this.hasRun(a)) : 0;
-		return begun === 0 ? a.rank - b.rank : begun;
-	}
-
-	/** Says whether a job that has not begun can't be in time any more. */
-	private isTooLate(live: Live, now: number): boolean {
-		return now > live.rank && !this.hasRun(live);
+	/** What decides the order of a job among others at a time. */
+	private standing(live: Live, now: number): Standing {
+		const hasRun = this.hasRun(live);
+		return {
+			late: this.policy.lateLast && now > live.rank && !hasRun,
+			priority: this.policy.urgentFirst ? live.job.priority : 0,
+			begun: this.policy.begunFirst && hasRun,
+			rank: live.rank,
+		};
 	}
 
 	/** Places the tasks of a job that wait, the longest first, as far as there is room. Returns the first for which there is none. */
-	private placeTasks(live: Live, now: number, actions: Action[]): Task | undefined {
+	private placeTasks(live: Live, now: number, actions: Action[], only?: Place): Task | undefined {
+		const lack = this.lacks.get(live.job.pool);
 		for (const task of live.tasks) {
 			if (task.state === 'waiting' && now >= task.notBefore && !this.mayStillRun(task.spec.name, now)) {
-				const place = this.choose(live, task, now);
+				// What is at least as large as a task that has just found no room finds none either.
+				const isHopeless = lack !== undefined && within(lack.task.spec.room, task.spec.room);
+				const place = isHopeless ? undefined : this.choose(live, task, now, only);
 				if (!place) {
 					return task;
 				}
@@ -701,9 +779,11 @@
 		return undefined;
 	}
 
-	private unfade(sent: Sent | undefined, ref: number): void {
+	/** Takes in that what ran under a name is over, so that a job submitted again may start it. */
+	private unfade(sent: Sent | undefined, ref: number, now: number, actions: Action[]): void {
 		if (sent && this.fading.get(sent.task.spec.name)?.ref === ref) {
 			this.fading.delete(sent.task.spec.name);
+			this.place(now, actions);
 		}
 	}
 
@@ -722,12 +802,12 @@
 	 * largest part of its room free, so that entries which see the same places seldom choose the same;
 	 * where it would end in time at none, the fastest.
 	 */
-	private choose(live: Live, task: Task, now: number): Place | undefined {
+	private choose(live: Live, task: Task, now: number, only?: Place): Place | undefined {
 		const {job, objectiveAt} = live;
 		const usualMs = this.estimate.taskMs(job.route, task.spec.estimateMs);
 		let best: {place: Place; late: number; cost: number} | undefined;
-		for (const place of this.places.values()) {
-			if (place.pool !== job.pool || now < place.notBefore || !this.isOpen(place) || !this.mayTry(place, now)) {
+		for (const place of only ? [only] : this.places.values()) {
+			if (place.pool !== job.pool || !this.isUsable(place, now)) {
 				continue;
 			}
 
@@ -754,6 +834,10 @@
 		return place.linked && place.hindrance === undefined && !this.out.has(place.zone);
 	}
 
+	private isUsable(place: Place, now: number): boolean {
+		return now >= place.notBefore && this.isOpen(place) && this.mayTry(place, now);
+	}
+
 	private mayTry(place: Place, now: number): boolean {
 		switch (standingOf(place.health, now)) {
 			case 'open': {
@@ -786,6 +870,7 @@
 			live, task, place: place.id, room: task.spec.room,
 		});
 		add(place.mine, task.spec.room, 1);
+		place.sent++;
 		if (standingOf(place.health, now) === 'probe') {
 			place.health = probe(place.health);
 		}
@@ -839,12 +924,21 @@
 		const at = this.places.get(place);
 		if (at) {
 			add(at.mine, sent.room, -1);
+			at.sent--;
 		}
 
 		return sent;
 	}
 }
 
+/** What can be in time goes first, then what is more urgent, then what has begun, then what must begin soonest to be in time. */
+function precedence(a: Standing, b: Standing): number {
+	return Number(a.late) - Number(b.late)
+		|| a.priority - b.priority
+		|| Number(b.begun) - Number(a.begun)
+		|| a.rank - b.rank;
+}
+
 function freeRoom({room, others, mine}: Place): Room {
 	return {
 		cpu: room.cpu - others.cpu - mine.cpu,
