Links at rest are quiet, sidecars link to sixteen entries, desired states are sent when asked for

Cause: every sidecar kept a link to every entry, each side said five times a second that it is alive, and each link had its own timer: 5,600 links at 35 entries and 160 sidecars. Each entry sent each new desired state whole to each other one: 34 times over 200 KB on a link of 14 Mbit/s.

Ruled out: fewer beats without a word of the other side's need: a run whose entry has died must be over before its caller submits again.

Change: a side that has something under way on a link says so with its beats, five a second, and expects as many; a link at rest has one a second and is given up after 2.6 s. One timer checks all links of a process. A sidecar links to the first 16 entries that it can reach in its own order (rendezvous, as on the older path); the next stand in for those that are away, and links beyond the 16 are ended once their entry was told and nothing is under way. Entries tell each other how new their desired state is, and one that has not got it from the store after 300 ms asks. Sidecars are told of entries once in 100 ms.

Conclusion: by the sum, 2,560 links with one beat a second each way in place of 5,600 with five.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -188,6 +188,11 @@
 		return [...this.held.values()].filter(({ask}) => ask.owner === owner).map(({ask}) => ask.task);
 	}
 
+	/** Says whether an owner has a run here, waits for room or is kept some. */
+	isAtStake(owner: string): boolean {
+		return this.wants.has(owner) || this.offers.has(owner) || [...this.held.values()].some(({ask}) => ask.owner === owner);
+	}
+
 	/** Says whether all that the owner asked for before it was last lost is over, also what an earlier life of this process started. */
 	isClear(owner: string): boolean {
 		return !this.inherited && ![...this.held.values()].some(({ask, wanted}) => ask.owner === owner && !wanted);
--- a/src/ephemeral/book.ts
+++ b/src/ephemeral/book.ts
@@ -1,7 +1,5 @@
 import type {Clock} from '../ports/clock.js';
-import {
-	dial, isAddress, type Link, type Receiver,
-} from './link.js';
+import {isAddress, type Link, type Links} from './link.js';
 
 /** How long an address that cannot be reached is kept unless it is a seed, in milliseconds. */
 const forgetMs = 60_000;
@@ -9,17 +7,34 @@
 /** BookParts are what a book works with. */
 export type BookParts = {
 	clock: Clock;
-	/** Takes what arrives on the links that are dialled. */
-	receiver: Receiver;
+	links: Links;
 	/** How often addresses without a link are dialled, in milliseconds. */
 	redialMs: number;
+	/** To which addresses links are wanted, where not to all. */
+	subset?: Subset;
 	/** The own address, which is never dialled, where there is one. */
 	own(): string | undefined;
 	/** Called with each new link that was dialled. */
 	opened(link: Link): void;
 };
 
-type Known = {address: string; link?: Link; dialling: boolean; since: number; seed: boolean};
+/** Subset is a choice that is stable while addresses come and go: the first `most` that can be reached, in the order of `rank`. */
+export type Subset = {
+	most: number;
+	rank(addresses: readonly string[]): readonly string[];
+	/** Called now and then with the links beyond the choice. */
+	beyond(links: readonly Link[]): void;
+};
+
+type Known = {
+	address: string;
+	link?: Link;
+	dialling: boolean;
+	/** Whether it could not be reached when it was dialled last. */
+	failed: boolean;
+	since: number;
+	seed: boolean;
+};
 
 /** Book is the addresses where entries may be found, and at most one link to each; what has none is dialled again and again. */
 export class Book {
@@ -28,6 +43,8 @@
 	}
 
 	private readonly known = new Map<string, Known>();
+	/** The known addresses in the order in which links are wanted, unless that is to be worked out anew. */
+	private ranked?: readonly Known[];
 	private timer?: NodeJS.Timeout;
 
 	private constructor(private readonly parts: BookParts) {}
@@ -54,8 +71,9 @@
 	know(addresses: readonly string[], seed = false): void {
 		for (const address of addresses) {
 			if (isAddress(address) && address !== this.parts.own() && !this.known.has(address)) {
+				this.ranked = undefined;
 				this.known.set(address, {
-					address, dialling: false, since: this.parts.clock.mono(), seed,
+					address, dialling: false, failed: false, since: this.parts.clock.mono(), seed,
 				});
 			}
 		}
@@ -81,19 +99,49 @@
 	}
 
 	private redial(): void {
+		this.forget();
+		const most = this.parts.subset?.most ?? Number.POSITIVE_INFINITY;
+		const beyond: Link[] = [];
+		let counted = 0;
+		for (const known of this.inOrder()) {
+			if (counted >= most) {
+				if (known.link) {
+					beyond.push(known.link);
+				}
+
+				continue;
+			}
+
+			// One that can't be reached does not count, so that the next in order stands in for it.
+			counted += Number(known.link !== undefined || !known.failed);
+			if (!known.link && !known.dialling) {
+				void this.dial(known);
+			}
+		}
+
+		this.parts.subset?.beyond(beyond);
+	}
+
+	private forget(): void {
 		for (const known of this.known.values()) {
 			if (!known.seed && !known.link && this.parts.clock.mono() - known.since > forgetMs) {
 				this.known.delete(known.address);
-			} else if (!known.link && !known.dialling) {
-				void this.dial(known);
+				this.ranked = undefined;
 			}
 		}
 	}
 
+	private inOrder(): readonly Known[] {
+		const {subset} = this.parts;
+		this.ranked ??= subset ? subset.rank([...this.known.keys()]).map(address => this.known.get(address)!) : [...this.known.values()];
+		return this.ranked;
+	}
+
 	private async dial(known: Known): Promise<void> {
 		known.dialling = true;
-		const link = await dial(known.address, this.parts.clock, this.parts.receiver);
+		const link = await this.parts.links.dial(known.address);
 		known.dialling = false;
+		known.failed = link === undefined;
 		if (!link) {
 			return;
 		}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,4 +1,3 @@
-import type {AddressInfo, Server} from 'node:net';
 import type {Logger} from 'pino';
 import {
 	Schedule, type Action, type Event, type Job, type Start, type Verdict,
@@ -7,7 +6,7 @@
 import type {DispatchMeters} from './meters.js';
 import {Book} from './book.js';
 import {
-	listen, splitAddress, type Link, type LinkEnd, type Receiver,
+	Links, type Link, type LinkEnd, type Receiver,
 } from './link.js';
 import type {Gossip, Message, ToEntry} from './messages.js';
 
@@ -25,6 +24,15 @@
 const tickMs = 20;
 /** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 500;
+/**
+ * How long an entry waits for the store to give it a desired state that another entry holds, in milliseconds, and
+ * how often it then asks one for it. A state of thousands of routes takes a thin link a tenth of a second, so it is not sent unasked.
+ */
+const fetchMs = 300;
+/** By how many times that pause grows where what comes can't be used. */
+const fetchMostPauses = 32;
+/** How long changes of the addresses of entries are collected before sidecars are told, in milliseconds: at a start there is one an entry. */
+const tellMs = 100;
 
 /** Sidecar is one with a link: its worker's clock in milliseconds, as it told it last, and when. */
 type Sidecar = {link: Link; stamp: number; stampedAt: number};
@@ -37,10 +45,7 @@
 export class Dispatcher implements Receiver {
 	static async create(settings: DispatcherSettings, clock: Clock, log: Logger, meters: DispatchMeters): Promise<Dispatcher> {
 		const dispatcher = new Dispatcher(settings, clock, log, meters);
-		const server = await listen(settings.address, clock, dispatcher);
-		const [host] = splitAddress(settings.address);
-		dispatcher.server = server;
-		dispatcher.address = `${host}:${(server.address() as AddressInfo).port}`;
+		dispatcher.address = await dispatcher.links.listen(settings.address);
 		dispatcher.book.open();
 		return dispatcher;
 	}
@@ -52,9 +57,10 @@
 	/** Called with a desired state that another entry holds. */
 	onDesired?: (asOf: number, text: string) => void;
 
-	private server?: Server;
+	private readonly links: Links;
 	private readonly sidecars = new Map<string, Sidecar>();
-	private readonly entries = new Set<Link>();
+	/** Links to other entries, with how new the desired state is that each holds. */
+	private readonly entries = new Map<Link, number>();
 	private readonly book: Book;
 	private readonly waiters = new Map<string, Set<Waiter>>();
 	private desired: {asOf: number; text: string} = {asOf: 0, text: ''};
@@ -64,6 +70,9 @@
 	private alarm?: NodeJS.Timeout;
 	/** The addresses of entries as sidecars were told of last. */
 	private toldAddresses = '';
+	private telling?: NodeJS.Timeout;
+	private fetching?: NodeJS.Timeout;
+	private fetches = 0;
 	private readonly timer: NodeJS.Timeout;
 
 	private constructor(
@@ -73,8 +82,9 @@
 		private readonly meters: DispatchMeters,
 	) {
 		this.address = settings.address;
+		this.links = Links.create(clock, this);
 		this.book = Book.create({
-			clock, receiver: this, redialMs, own: () => this.address, opened: link => {
+			clock, links: this.links, redialMs, own: () => this.address, opened: link => {
 				this.hello(link);
 				this.tellAddresses();
 			},
@@ -116,14 +126,15 @@
 	/** Takes in the desired state in force, to be passed on as `text`, and the zones that are out of service. */
 	adopt(asOf: number, text: string, out: readonly string[]): void {
 		this.desired = {asOf, text};
+		this.fetches = 0;
 		this.out = out;
 		this.apply({kind: 'zones', out: new Set(out)});
 		for (const {link} of this.sidecars.values()) {
 			link.send({kind: 'zones', asOf, out});
 		}
 
-		for (const link of this.entries) {
-			link.send({kind: 'desired', asOf, text});
+		for (const link of this.entries.keys()) {
+			link.send({kind: 'newest', asOf});
 		}
 	}
 
@@ -142,14 +153,13 @@
 		clearInterval(this.timer);
 		this.book.close();
 		clearTimeout(this.alarm);
-		this.server?.close();
-		for (const {link} of this.sidecars.values()) {
-			link.close();
-		}
+		clearTimeout(this.telling);
+		clearTimeout(this.fetching);
+		this.links.close();
+	}
 
-		for (const link of this.entries) {
-			link.close();
-		}
+	isAtStake({peer}: Link): boolean {
+		return peer?.role === 'sidecar' && this.schedule.sentTo(peer.node) > 0;
 	}
 
 	receive(message: Message, link: Link): void {
@@ -169,9 +179,11 @@
 			}
 
 			case 'entries':
+			case 'newest':
+			case 'fetch':
 			case 'desired': {
 				if (link.peer?.role === 'entry') {
-					this.gossip(message);
+					this.gossip(message, link);
 				}
 
 				break;
@@ -210,13 +222,24 @@
 		}
 	}
 
-	private gossip(message: Gossip): void {
+	private gossip(message: Gossip, link: Link): void {
 		switch (message.kind) {
 			case 'entries': {
 				this.know(message.addresses);
 				break;
 			}
 
+			case 'newest': {
+				this.entries.set(link, message.asOf);
+				this.catchUp();
+				break;
+			}
+
+			case 'fetch': {
+				link.send({kind: 'desired', ...this.desired});
+				break;
+			}
+
 			case 'desired': {
 				if (message.asOf > this.desired.asOf) {
 					this.onDesired?.(message.asOf, message.text);
@@ -227,6 +250,29 @@
 		}
 	}
 
+	/** Asks other entries, one after the other, for a newer desired state that they hold, unless the store gives it first. */
+	private catchUp(): void {
+		const ahead = [...this.entries].filter(([, asOf]) => asOf > this.desired.asOf).map(([link]) => link);
+		if (ahead.length === 0 || this.fetching) {
+			return;
+		}
+
+		const knowsNone = this.desired.asOf === 0 && this.fetches === 0;
+		const pauseMs = fetchMs * Math.min(fetchMostPauses, 2 ** Math.max(0, this.fetches - 2));
+		this.fetching = setTimeout(() => {
+			this.fetching = undefined;
+			const link = ahead.filter(({alive}) => alive)[this.fetches++ % ahead.length];
+			if (link && this.entries.get(link)! > this.desired.asOf) {
+				this.log.info({
+					event: 'fetch', asOf: this.desired.asOf, newer: this.entries.get(link), from: link.peer?.node,
+				}, 'asks an entry for its desired state');
+				link.send({kind: 'fetch'});
+			}
+
+			this.catchUp();
+		}, knowsNone ? 0 : pauseMs);
+	}
+
 	private leave(job: string, answer: Waiter): void {
 		const waiters = this.waiters.get(job);
 		if (!waiters?.delete(answer) || waiters.size > 0) {
@@ -265,27 +311,30 @@
 		}
 
 		this.hello(link);
-		this.entries.add(link);
+		this.entries.set(link, 0);
 		link.send({kind: 'entries', addresses: this.addresses()});
 		if (this.desired.asOf > 0) {
-			link.send({kind: 'desired', ...this.desired});
+			link.send({kind: 'newest', asOf: this.desired.asOf});
 		}
 
 		this.tellAddresses();
 	}
 
-	/** Tells all sidecars which entries are up, if that has changed. */
+	/** Tells all sidecars soon which entries are up, if that has changed. */
 	private tellAddresses(): void {
-		const addresses = this.addresses();
-		const text = addresses.toSorted().join(',');
-		if (text === this.toldAddresses) {
-			return;
-		}
+		this.telling ??= setTimeout(() => {
+			this.telling = undefined;
+			const addresses = this.addresses();
+			const text = addresses.toSorted().join(',');
+			if (text === this.toldAddresses) {
+				return;
+			}
 
-		this.toldAddresses = text;
-		for (const {link} of this.sidecars.values()) {
-			link.send({kind: 'entries', addresses});
-		}
+			this.toldAddresses = text;
+			for (const {link} of this.sidecars.values()) {
+				link.send({kind: 'entries', addresses});
+			}
+		}, tellMs);
 	}
 
 	private hear(message: ToEntry, link: Link): void {
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -2,7 +2,9 @@
 import {
 	Guard, type Action, type Ask, type Event, type Worker,
 } from '../decide/guard.js';
+import {subsetSize} from '../decide/announce.js';
 import {raise} from '../decide/fence.js';
+import {rank} from '../decide/rendezvous.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, Look, Reply, Run,
@@ -10,7 +12,9 @@
 import {deferred} from '../deferred.js';
 import type {DriverMeters} from './meters.js';
 import {Book} from './book.js';
-import type {Link, LinkEnd, Receiver} from './link.js';
+import {
+	Links, type Link, type LinkEnd, type Receiver,
+} from './link.js';
 import type {Message, ToSidecar} from './messages.js';
 
 /** DriverSettings are what a sidecar needs to know to drive its worker. */
@@ -46,6 +50,8 @@
 const pauseLimit = 6;
 /** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 250;
+/** How long before a link that is not wanted any more is ended its entry is told to send nothing there, in milliseconds: an order may be 600 old. */
+const releaseMs = 1000;
 
 /**
  * Driver is a sidecar's side of jobs kept in memory: it carries out what its guard decides at the
@@ -59,7 +65,11 @@
 	readonly guard = Guard.create();
 
 	private readonly book: Book;
-	private readonly links = new Set<Link>();
+	/** Those whose entry has said who it is, by its life there. */
+	private readonly owners = new Map<string, Link>();
+	private readonly links: Links;
+	/** Links that are not wanted any more, and since when. */
+	private readonly releasing = new Map<Link, number>();
 	private fence = 0;
 	private fenceRefusals = 0;
 	/** The worker's clock at a time of ours. */
@@ -82,12 +92,20 @@
 		({
 			clock: this.clock, executor: this.executor, log: this.log, meters: this.meters,
 		} = parts);
+		this.links = Links.create(this.clock, this);
 		this.book = Book.create({
-			clock: this.clock, receiver: this, redialMs, own: () => undefined, opened(link) {
+			clock: this.clock, links: this.links, redialMs, own: () => undefined, opened(link) {
 				link.greet({
 					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.life,
 				});
 			},
+			subset: {
+				most: subsetSize,
+				rank: addresses => rank(settings.node, addresses),
+				beyond: links => {
+					this.release(links);
+				},
+			},
 		});
 		this.know(settings.seeds, true);
 		this.book.open();
@@ -96,7 +114,7 @@
 
 	/** The number of entries with a link. */
 	get linked(): number {
-		return this.links.size;
+		return this.owners.size;
 	}
 
 	/** Takes in what the worker reported of itself, with its clock at that time. */
@@ -138,10 +156,7 @@
 
 		this.closed = true;
 		this.book.close();
-		for (const link of this.links) {
-			link.close();
-		}
-
+		this.links.close();
 		this.wake.resolve();
 	}
 
@@ -176,6 +191,8 @@
 			case 'offer':
 			case 'refused':
 			case 'ended':
+			case 'newest':
+			case 'fetch':
 			case 'desired': {
 				break;
 			}
@@ -183,8 +200,8 @@
 	}
 
 	ended(link: Link, why: LinkEnd, problem?: string): void {
-		this.links.delete(link);
 		this.book.ended(link);
+		this.releasing.delete(link);
 		if (!link.peer && !problem) {
 			return;
 		}
@@ -194,11 +211,16 @@
 		this.log.warn({
 			event: 'entry-lost', entry: link.peer?.node, remote: link.remote, why, problem, tasks: link.peer && this.guard.tasksOf(ownerOf(link)),
 		}, 'link to an entry lost; its runs are stopped');
-		if (link.peer) {
+		if (link.peer && this.owners.get(ownerOf(link)) === link) {
+			this.owners.delete(ownerOf(link));
 			this.apply({kind: 'ownerLost', owner: ownerOf(link)});
 		}
 	}
 
+	isAtStake({peer}: Link): boolean {
+		return peer !== undefined && this.guard.isAtStake(ownerOf({peer}));
+	}
+
 	beforeFlush(link: Link): void {
 		if (link.peer) {
 			const owner = ownerOf(link);
@@ -208,15 +230,30 @@
 		}
 	}
 
-	private welcome(link: Link): void {
-		const owner = ownerOf(link);
-		for (const other of this.links) {
-			if (other !== link && other.peer && ownerOf(other) === owner) {
-				other.close();
+	/** Ends links that are not wanted any more, once their entry was told so and nothing of it is under way; tells it where one is wanted again. */
+	private release(beyond: readonly Link[]): void {
+		for (const link of this.releasing.keys()) {
+			if (!beyond.includes(link)) {
+				this.releasing.delete(link);
+				this.tell(link);
 			}
 		}
 
-		this.links.add(link);
+		for (const link of beyond.filter(({peer}) => peer)) {
+			const since = this.releasing.get(link);
+			if (since === undefined) {
+				this.releasing.set(link, this.clock.mono());
+				this.tell(link);
+			} else if (this.clock.mono() - since > releaseMs && !this.isAtStake(link)) {
+				link.close('released');
+			}
+		}
+	}
+
+	private welcome(link: Link): void {
+		const owner = ownerOf(link);
+		this.owners.get(owner)?.close();
+		this.owners.set(owner, link);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
 		this.tell(link);
 	}
@@ -297,19 +334,19 @@
 
 			case 'refuse': {
 				this.meters.refusals.inc({why: action.why});
-				this.linkOf(action.owner)?.send({kind: 'refused', ref: action.ref, why: action.why});
+				this.owners.get(action.owner)?.send({kind: 'refused', ref: action.ref, why: action.why});
 				break;
 			}
 
 			case 'offer': {
 				this.meters.offers.inc();
-				this.linkOf(action.owner)?.send({kind: 'offer'});
+				this.owners.get(action.owner)?.send({kind: 'offer'});
 				break;
 			}
 
 			case 'end': {
 				this.meters.ends.inc({outcome: action.outcome});
-				this.linkOf(action.owner)?.send({
+				this.owners.get(action.owner)?.send({
 					kind: 'ended', ref: action.ref, outcome: action.outcome, ranMs: Math.round(action.ranMs),
 				});
 				break;
@@ -466,7 +503,7 @@
 	}
 
 	private tellAll(): void {
-		for (const link of this.links) {
+		for (const link of this.owners.values()) {
 			this.tell(link);
 		}
 	}
@@ -480,19 +517,15 @@
 				pool: worker?.pool ?? '',
 				room: worker?.room ?? {cpu: 0, memoryMb: 0, accelerators: 0},
 				others: this.guard.takenFrom(ownerOf(link), this.clock.mono()),
-				hindrance: this.guard.hindrance,
+				hindrance: this.guard.hindrance ?? (this.releasing.has(link) ? 'withdrawn' : undefined),
 			},
 			stamp: this.workerClock(),
 			clear: this.guard.isClear(ownerOf(link)),
 		});
 	}
-
-	private linkOf(owner: string): Link | undefined {
-		return [...this.links].find(link => ownerOf(link) === owner);
-	}
 }
 
 /** The name of the entry's life at the other end. */
-function ownerOf(link: Link): string {
-	return `${link.peer!.node}/${link.peer!.life}`;
+function ownerOf({peer}: Pick<Link, 'peer'>): string {
+	return `${peer!.node}/${peer!.life}`;
 }
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -1,15 +1,22 @@
 import {
-	createConnection, createServer, type Server, type Socket,
+	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {Buffer} from 'node:buffer';
 import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
 import {readMessage, type Hello, type Message} from './messages.js';
 
-/** How often a side that has nothing else to send says that it is alive, in milliseconds. */
-export const beatMs = 200;
-/** The silence after which a link is given up, in milliseconds: well under the time after which a client submits again (1300). */
-export const silenceMs = 700;
+/** How often a side that has nothing else to send says that it is alive while something depends on the link, in milliseconds. */
+const beatMs = 200;
+/** The silence after which such a link is given up, in milliseconds: well under the time after which a client submits again (1300). */
+const silenceMs = 700;
+/** The same while nothing depends on it. What links cost at rest grows with entries times sidecars. */
+const idleBeatMs = 1000;
+const idleSilenceMs = 2600;
+/** How often all links are looked at, in milliseconds. */
+const checkMs = 100;
+/** By how much later than `silenceMs` a link that something depends on may be given up, in milliseconds. */
+export const givenUpMs = silenceMs + checkMs;
 /** How long a new connection may take, in milliseconds. */
 const connectMs = 500;
 /** What may wait to be sent before a link counts as stuck, in bytes. */
@@ -17,8 +24,8 @@
 /** The longest line that is read, in characters: a desired state of thousands of routes takes under a tenth. */
 const lineLimit = 16_000_000;
 
-/** Why a link ended. */
-export type LinkEnd = 'closed' | 'silent' | 'stuck' | 'malformed' | 'failed';
+/** Why a link ended: `released` when this side has no more use for it, `failed` when a message of it could not be handled. */
+export type LinkEnd = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
 /** Receiver takes what arrives on a link. */
 export type Receiver = {
@@ -27,19 +34,21 @@
 	ended(link: Link, why: LinkEnd, problem?: string): void;
 	/** Called before messages are sent, to add one that dates or sums up the others. */
 	beforeFlush?(link: Link): void;
+	/** Says whether something is under way that the other side's silence would put in doubt. */
+	isAtStake(link: Link): boolean;
 };
 
 /**
  * Link is an ordered, kept connection between two of our processes. Messages of one turn of the loop
- * travel together, as one line of JSON. A link that is silent for `silenceMs` is over, whether or not
- * the network said so.
+ * travel together, as one line of JSON. A link that is silent for `silenceMs` while something depends on it is
+ * over, whether or not the network said so; one at rest may be silent for `idleSilenceMs`.
  *
  * Not connect calls: a task's few small messages are batched by turn and must be ordered with the beats
  * that date them.
  */
 export class Link {
-	static create(socket: Socket, clock: Clock, receiver: Receiver): Link {
-		return new Link(socket, clock, receiver);
+	static create(socket: Socket, clock: Clock, receiver: Receiver, ended: (link: Link) => void): Link {
+		return new Link(socket, clock, receiver, ended);
 	}
 
 	/** What the other side said of itself, once it has. Nothing else is taken from it before. */
@@ -53,14 +62,21 @@
 	private greeted = false;
 	private heardAt: number;
 	private sentAt: number;
+	/** Since when something here depends on the link, and until when something at the other side may. */
+	private stakeSince?: number;
+	private neededUntil = 0;
 	private pending: Message[] = [];
 	private scheduled = false;
 	private over = false;
 	private rest = '';
 	private readonly decoder = new StringDecoder('utf8');
-	private readonly timer: NodeJS.Timeout;
 
-	private constructor(private readonly socket: Socket, private readonly clock: Clock, private readonly receiver: Receiver) {
+	private constructor(
+		private readonly socket: Socket,
+		private readonly clock: Clock,
+		private readonly receiver: Receiver,
+		private readonly onEnd: (link: Link) => void,
+	) {
 		this.remote = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.heardAt = clock.mono();
 		this.sentAt = this.heardAt;
@@ -74,9 +90,6 @@
 		socket.on('close', () => {
 			this.end('closed');
 		});
-		this.timer = setInterval(() => {
-			this.check();
-		}, beatMs / 2);
 	}
 
 	/** Says whether the link is up. */
@@ -112,6 +125,23 @@
 		this.end(why, problem);
 	}
 
+	/** Gives the link up where it has been silent for too long, and says that this side is alive where that is due. */
+	check(): void {
+		const now = this.clock.mono();
+		const isAtStake = this.receiver.isAtStake(this);
+		this.stakeSince = isAtStake ? this.stakeSince ?? now : undefined;
+		if (this.isSilent(now)) {
+			// What has arrived meanwhile is read first: this process may have been held up itself.
+			setImmediate(() => {
+				if (this.isSilent(this.clock.mono())) {
+					this.end('silent');
+				}
+			});
+		} else if (now - this.sentAt >= (isAtStake || now < this.neededUntil ? beatMs : idleBeatMs)) {
+			this.send({kind: 'beat', needed: isAtStake});
+		}
+	}
+
 	private flush(): void {
 		if (this.over) {
 			return;
@@ -128,18 +158,9 @@
 		}
 	}
 
-	private check(): void {
-		const now = this.clock.mono();
-		if (now - this.heardAt > silenceMs) {
-			// What has arrived meanwhile is read first: this process may have been held up itself.
-			setImmediate(() => {
-				if (this.clock.mono() - this.heardAt > silenceMs) {
-					this.end('silent');
-				}
-			});
-		} else if (now - this.sentAt >= beatMs) {
-			this.send({kind: 'beat'});
-		}
+	/** The time at rest before something came to depend on the link does not count, since the other side said nothing then with reason. */
+	private isSilent(now: number): boolean {
+		return this.stakeSince === undefined ? now - this.heardAt > idleSilenceMs : now - Math.max(this.heardAt, this.stakeSince) > silenceMs;
 	}
 
 	private read(chunk: Uint8Array): void {
@@ -197,6 +218,7 @@
 
 	private take(message: Message): void {
 		if (message.kind === 'beat') {
+			this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
 			return;
 		}
 
@@ -223,44 +245,81 @@
 		}
 
 		this.over = true;
-		clearInterval(this.timer);
 		this.socket.destroy();
+		this.onEnd(this);
 		this.receiver.ended(this, why, problem);
 	}
 }
 
-/** Opens a link to an address, host:port. Resolves to nothing when it cannot be reached in time. */
-export async function dial(address: string, clock: Clock, receiver: Receiver): Promise<Link | undefined> {
-	const [host, port] = splitAddress(address);
-	return new Promise(resolve => {
-		const socket = createConnection({host, port});
-		const timer = setTimeout(() => {
-			socket.destroy();
-			resolve(undefined);
-		}, connectMs);
-		socket.once('error', () => {
-			clearTimeout(timer);
-			resolve(undefined);
+/** Links are those of one process, with one timer for all of them. */
+export class Links {
+	static create(clock: Clock, receiver: Receiver): Links {
+		return new Links(clock, receiver);
+	}
+
+	private readonly open = new Set<Link>();
+	private readonly timer: NodeJS.Timeout;
+	private server?: Server;
+
+	private constructor(private readonly clock: Clock, private readonly receiver: Receiver) {
+		this.timer = setInterval(() => {
+			for (const link of this.open) {
+				link.check();
+			}
+		}, checkMs);
+	}
+
+	/** Opens a link to an address, host:port. Resolves to nothing when it cannot be reached in time. */
+	async dial(address: string): Promise<Link | undefined> {
+		const [host, port] = splitAddress(address);
+		return new Promise(resolve => {
+			const socket = createConnection({host, port});
+			const timer = setTimeout(() => {
+				socket.destroy();
+				resolve(undefined);
+			}, connectMs);
+			socket.once('error', () => {
+				clearTimeout(timer);
+				resolve(undefined);
+			});
+			socket.once('connect', () => {
+				clearTimeout(timer);
+				resolve(this.add(socket));
+			});
+		});
+	}
+
+	/** Listens for links. Resolves to where it does, once it does. */
+	async listen(address: string): Promise<string> {
+		const [host, port] = splitAddress(address);
+		const server = createServer(socket => {
+			this.add(socket);
 		});
-		socket.once('connect', () => {
-			clearTimeout(timer);
-			resolve(Link.create(socket, clock, receiver));
+		this.server = server;
+		return new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen({host, port}, () => {
+				resolve(`${host}:${(server.address() as AddressInfo).port}`);
+			});
 		});
-	});
-}
+	}
 
-/** Listens for links. Resolves once it does. */
-export async function listen(address: string, clock: Clock, receiver: Receiver): Promise<Server> {
-	const [host, port] = splitAddress(address);
-	const server = createServer(socket => {
-		Link.create(socket, clock, receiver);
-	});
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({host, port}, () => {
-			resolve(server);
+	/** Ends all links, and takes none from now on. */
+	close(): void {
+		clearInterval(this.timer);
+		this.server?.close();
+		for (const link of this.open) {
+			link.close();
+		}
+	}
+
+	private add(socket: Socket): Link {
+		const link = Link.create(socket, this.clock, this.receiver, ended => {
+			this.open.delete(ended);
 		});
-	});
+		this.open.add(link);
+		return link;
+	}
 }
 
 /** Says whether a text is an address that can be dialled, as host:port. */
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -56,12 +56,16 @@
 const gossip = [
 	/** The addresses of entries that are up. */
 	z.object({kind: z.literal('entries'), addresses: z.array(z.string()).readonly()}),
-	/** The newest desired state, as the platform gave it out; `asOf` orders them. */
+	/** How new the desired state is that its sender holds; `asOf` orders them. */
+	z.object({kind: z.literal('newest'), asOf: z.number()}),
+	/** Asks for that desired state. */
+	z.object({kind: z.literal('fetch')}),
+	/** A desired state, as the platform gave it out. */
 	z.object({kind: z.literal('desired'), asOf: z.number(), text: z.string()}),
 ] as const;
 
-/** Says only that its sender is alive. */
-const beat = z.object({kind: z.literal('beat')});
+/** Says that its sender is alive. `needed`: something there depends on the link, so that this side is to say so often too. */
+const beat = z.object({kind: z.literal('beat'), needed: z.boolean()});
 
 const all = [hello, ...toEntry, ...toSidecar, ...gossip, beat] as const;
 const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
--- /dev/null
+++ b/test/book.test.ts
@@ -0,0 +1,91 @@
+import test, {type ExecutionContext} from 'ava';
+import {systemClock} from '../src/adapters/clock.js';
+import {rank} from '../src/decide/rendezvous.js';
+import {Book} from '../src/ephemeral/book.js';
+import {Links, type Link, type Receiver} from '../src/ephemeral/link.js';
+
+const receiver: Receiver = {
+	receive: () => undefined,
+	ended: () => undefined,
+	isAtStake: () => false,
+};
+const redialMs = 20;
+const most = 3;
+
+function links(t: ExecutionContext, over: (link: Link) => void = () => undefined): Links {
+	const made = Links.create(systemClock, {...receiver, ended: over});
+	t.teardown(() => {
+		made.close();
+	});
+	return made;
+}
+
+/** Opens so many listeners. Resolves to where they listen, in the order in which the book wants them. */
+async function listen(t: ExecutionContext, count: number): Promise<Map<string, Links>> {
+	const found = new Map<string, Links>();
+	for (let index = 0; index < count; index++) {
+		const one = links(t);
+		found.set(await one.listen('127.0.0.1:0'), one);
+	}
+
+	return new Map(rank('s', [...found.keys()]).map(address => [address, found.get(address)!]));
+}
+
+/** Opens a book that wants the first three, and keeps the links beyond them. */
+function open(t: ExecutionContext, addresses: readonly string[]): {book: Book; beyond(): readonly Link[]} {
+	let rest: readonly Link[] = [];
+	const book: Book = Book.create({
+		clock: systemClock,
+		links: links(t, link => {
+			book.ended(link);
+		}),
+		redialMs,
+		subset: {
+			most,
+			rank: some => rank('s', some),
+			beyond(more) {
+				rest = more;
+			},
+		},
+		own: () => undefined,
+		opened: () => undefined,
+	});
+	book.know(addresses);
+	book.open();
+	t.teardown(() => {
+		book.close();
+	});
+	return {book, beyond: () => rest};
+}
+
+async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await systemClock.sleep(redialMs / 4);
+	}
+}
+
+test('book: links go to the first of the order, and to no others', async t => {
+	const listeners = await listen(t, 6);
+	const addresses = [...listeners.keys()];
+	const {book} = open(t, addresses);
+	await until(() => book.reached.length === most);
+	await systemClock.sleep(5 * redialMs);
+	t.deepEqual(book.reached.toSorted(), addresses.slice(0, most).toSorted());
+});
+
+test('book: the next in order stand in for those that cannot be reached, and are beyond it once these return', async t => {
+	const listeners = await listen(t, 6);
+	const addresses = [...listeners.keys()];
+	for (const address of addresses.slice(0, most)) {
+		listeners.get(address)!.close();
+	}
+
+	const {book, beyond} = open(t, addresses);
+	await until(() => book.reached.length === most);
+	t.deepEqual(book.reached.toSorted(), addresses.slice(most).toSorted());
+	await links(t).listen(addresses[0]!);
+	await until(() => book.reached.length === most + 1);
+	await until(() => beyond().length === 1);
+	t.true(book.reached.includes(addresses[0]!));
+	t.true(beyond()[0]!.alive);
+});
--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -250,3 +250,35 @@
 	const verdict = await submit(second!, {...job('j'), aimMs: 100});
 	t.like(verdict, {kind: 'refused', why: 'no-place'});
 });
+
+test('ephemeral: a desired state goes to an entry that the store does not give it to, and only when that asks', async t => {
+	const {entries} = await start(t, 2, 0);
+	const [first, second] = entries;
+	const got = new Promise<[number, string]>(resolve => {
+		second!.onDesired = (asOf, text) => {
+			second!.adopt(asOf, text, []);
+			resolve([asOf, text]);
+		};
+	});
+	first!.onDesired = () => {
+		t.fail('it holds that state itself');
+	};
+	first!.adopt(7, 'text', []);
+	t.deepEqual(await got, [7, 'text']);
+});
+
+test('ephemeral: an entry that starts takes the desired state from another', async t => {
+	const {entries: [first]} = await start(t, 1, 0);
+	first!.adopt(7, 'text', []);
+	const late = await Dispatcher.create({
+		node: 'late', life: 'late-1', address: '127.0.0.1:0', seeds: [first!.address],
+	}, systemClock, quiet, DispatchMeters.create());
+	t.teardown(() => {
+		late.close();
+	});
+	t.deepEqual(await new Promise(resolve => {
+		late.onDesired = (asOf, text) => {
+			resolve([asOf, text]);
+		};
+	}), [7, 'text']);
+});
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -1,15 +1,15 @@
-import {createConnection, type AddressInfo} from 'node:net';
+import {createConnection} from 'node:net';
 import {Writable} from 'node:stream';
 import test, {type ExecutionContext} from 'ava';
 import {systemClock} from '../src/adapters/clock.js';
 import {Sink} from '../src/adapters/log.js';
 import {
-	dial, listen, splitAddress, type Link, type LinkEnd, type Receiver,
+	Links, splitAddress, type Link, type LinkEnd, type Receiver,
 } from '../src/ephemeral/link.js';
 import type {Message} from '../src/ephemeral/messages.js';
 
 /** A receiver that keeps what it gets and resolves when its link ends. */
-function keeper(): {receiver: Receiver; got: Message[]; over: Promise<LinkEnd>} {
+function keeper(isAtStake = false): {receiver: Receiver; got: Message[]; over: Promise<LinkEnd>} {
 	const got: Message[] = [];
 	let end!: (why: LinkEnd) => void;
 	const over = new Promise<LinkEnd>(resolve => {
@@ -22,17 +22,22 @@
 		ended(_link, why) {
 			end(why);
 		},
+		isAtStake: () => isAtStake,
 	};
 	return {receiver, got, over};
 }
 
 /** Listens on a free port. Resolves to the address. */
 async function open(t: ExecutionContext, receiver: Receiver): Promise<string> {
-	const server = await listen('127.0.0.1:0', systemClock, receiver);
+	return links(t, receiver).listen('127.0.0.1:0');
+}
+
+function links(t: ExecutionContext, receiver: Receiver): Links {
+	const made = Links.create(systemClock, receiver);
 	t.teardown(() => {
-		server.close();
+		made.close();
 	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return made;
 }
 
 for (const [title, bytes, why] of [
@@ -55,10 +60,64 @@
 	});
 }
 
+/** Opens a connection that says lines at once and every 100 ms, and counts the lines that come. */
+function raw(t: ExecutionContext, address: string, first: string, again = ''): {closed: Promise<void>; count(): number} {
+	const [host, port] = splitAddress(address);
+	const socket = createConnection({host, port});
+	let lines = 0;
+	socket.on('error', () => undefined);
+	socket.on('data', (bytes: Uint8Array) => {
+		lines += new TextDecoder().decode(bytes).split('\n').length - 1;
+	});
+	socket.write(first);
+	const timer = setInterval(() => {
+		socket.write(again);
+	}, 100);
+	const closed = new Promise<void>(resolve => {
+		socket.once('close', () => {
+			clearInterval(timer);
+			resolve();
+		});
+	});
+	t.teardown(() => {
+		clearInterval(timer);
+		socket.destroy();
+	});
+	return {count: () => lines, closed};
+}
+
+const greeting = '[{"kind":"hello","role":"sidecar","node":"s","life":"l"}]\n';
+
+test('link: one on which something depends is given up in silence sooner than one at rest', async t => {
+	const tense = keeper(true);
+	const calm = keeper();
+	const [tenseAt, calmAt] = [await open(t, tense.receiver), await open(t, calm.receiver)];
+	const first = raw(t, calmAt, greeting);
+	const second = raw(t, tenseAt, greeting);
+	const order: string[] = [];
+	await Promise.all([first, second].map(async ({closed}, index) => {
+		await closed;
+		order.push(index === 0 ? 'calm' : 'tense');
+	}));
+	t.deepEqual(order, ['tense', 'calm']);
+	t.deepEqual([await tense.over, await calm.over], ['silent', 'silent']);
+});
+
+test('link: a side at rest says often that it is alive only where the other side needs to know', async t => {
+	const address = await open(t, keeper().receiver);
+	const needing = raw(t, address, greeting, '[{"kind":"beat","needed":true}]\n');
+	const resting = raw(t, address, greeting, '[{"kind":"beat","needed":false}]\n');
+	while (resting.count() < 2) {
+		await systemClock.sleep(10);
+	}
+
+	t.true(needing.count() >= 2 * resting.count(), `${needing.count()} and ${resting.count()}`);
+});
+
 test('link: messages arrive whole and in order, however they are cut up, and beats keep an idle link up', async t => {
 	const {receiver, got} = keeper();
 	const address = await open(t, receiver);
-	const link = await dial(address, systemClock, keeper().receiver);
+	const link = await links(t, keeper().receiver).dial(address);
 	const hello = {
 		kind: 'hello', role: 'entry', node: 'n', life: 'l',
 	} as const;
@@ -75,7 +134,7 @@
 });
 
 test('link: an address where nobody listens cannot be dialled', async t => {
-	t.is(await dial('127.0.0.1:1', systemClock, keeper().receiver), undefined as Link | undefined);
+	t.is(await links(t, keeper().receiver).dial('127.0.0.1:1'), undefined as Link | undefined);
 });
 
 test('log: lines are dropped and counted while the output is stuck, and written when it is not', t => {
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -46,8 +46,10 @@
 	{kind: 'want', room, dueMs: 5},
 	{kind: 'zones', asOf: 1, out: ['z']},
 	{kind: 'entries', addresses: ['127.0.0.1:1']},
+	{kind: 'newest', asOf: 1},
+	{kind: 'fetch'},
 	{kind: 'desired', asOf: 1, text: '[]'},
-	{kind: 'beat'},
+	{kind: 'beat', needed: true},
 ];
 const hello = (role: string) => JSON.stringify([{
 	kind: 'hello', role, node: 'liar', life: 'l',
