An entry counts on its own part of the places when it admits

Cause: what goes before a job was divided by the rate of all places, though others fill most of them: at 35 entries the wait came out some thirty times too small, so jobs were taken in and refused late.

Change: the rate counts by the part of what runs there that is the entry's own, at least 0.02.

The new case admits the job on the code before.

--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -127,13 +127,18 @@
 	lateLast: boolean;
 	/** Whether tasks are spread over the places where they should end in time, instead of going to the fastest. */
 	spread: boolean;
+	/**
+	 * The least part of the rate of its places that an entry counts on in admission; above it, it is the part of
+	 * what runs there that is its own. Answers loads over what workers can do at tens of entries.
+	 */
+	shareLeast: number;
 	/** How much longer than expected a task may take when such a place is chosen, as a factor: estimates are some 40% off. */
 	margin: number;
 };
 
 /** The policy that runs. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, margin: 2,
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2,
 };
 
 type Task = {
@@ -411,7 +416,7 @@
 		return this.expectedMs(live, now) > patientUntil - arrivedAt ? 'overloaded' : undefined;
 	}
 
-	/** Estimates how long what goes before a job takes, worked off at the rate of all places of its pool together. */
+	/** Estimates how long what goes before a job takes, worked off at the part of the rate of its pool's places that comes to this entry. */
 	private expectedMs(live: Live, now: number): number {
 		const {pool} = live.job;
 		const standing = this.standing(live, now);
@@ -428,11 +433,18 @@
 		}
 
 		let rate = 0;
+		let mine = 0;
+		let others = 0;
 		for (const place of this.places.values()) {
-			rate += place.pool === pool && this.isOpen(place) ? place.room.cpu / this.estimate.slowness(place.id) : 0;
+			if (place.pool === pool && this.isOpen(place)) {
+				rate += place.room.cpu / this.estimate.slowness(place.id);
+				mine += place.mine.cpu;
+				others += place.others.cpu;
+			}
 		}
 
-		return rate === 0 ? 0 : work / rate;
+		const share = mine + others === 0 ? 1 : Math.max(this.policy.shareLeast, mine / (mine + others));
+		return rate === 0 ? 0 : work / (rate * share);
 	}
 
 	private isSettling(now: number): boolean {
--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -263,6 +263,7 @@
 	first!.onDesired = () => {
 		t.fail('it holds that state itself');
 	};
+
 	first!.adopt(7, 'text', []);
 	t.deepEqual(await got, [7, 'text']);
 });
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -68,6 +68,11 @@
 	['a stopping entry admits what should end in time', [[0, told()], [0, {kind: 'stopping', until: 300}], [0, submit()]], ['start j.0 at a as 1']],
 	['a stopping entry whose time is over refuses all', [[0, told()], [0, {kind: 'stopping', until: 300}], [301, submit({}, 0)]], ['answer j refused stopping']],
 	['what goes after a job does not keep it from being admitted', [[0, told('a', {others: room(8)})], [0, submit({id: 'k', aimMs: 15_000}, 40)], [1, submit()]], []],
+	[
+		'an entry refuses at once what its own part of the places can\'t serve in time',
+		[[0, told()], [0, told('b', {room: {cpu: 100, memoryMb: 100, accelerators: 0}, others: room(100)})], [0, submit({id: 'k', aimMs: 15_000}, 10)], [1, submit()]],
+		['answer j refused overloaded'],
+	],
 	['a task is placed at once where there is room', [[0, told()], [0, submit()]], ['start j.0 at a as 1']],
 	['a task is placed where it alone fits beside what others run', [[0, told('a', {others: room(7)})], [0, told('b')], [0, submit()]], ['start j.0 at b as 1']],
 	['nothing is placed in a zone that is out', [[0, told()], [0, told('b', {zone: 'z2'})], [0, {kind: 'zones', out: new Set(['z1'])}], [0, submit()]], ['start j.0 at b as 1']],
