--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -109,6 +109,8 @@
 const wantMost = 16;
 /** How long a task waits whose name still runs for somebody else, in milliseconds. */
 const duplicateMs = 120;
+/** How long a job of which something may have run is remembered after its end, in milliseconds: callers submit again after 1300, and for as long as they wait. */
+const begunKeptMs = 30_000;
 /** Bounds of the time after which a refused caller is told to come back, in milliseconds. */
 const retryLeastMs = 1000;
 const retryMostMs = 5000;
@@ -168,7 +170,9 @@
 	longestMs: number;
 	/** When its last task should have ended to be in time. */
 	objectiveAt: number;
-	/** Whether anything of it may have run, also under an earlier submission. */
+	/** Whether anything of it may have run under an earlier submission that is over. */
+	ranBefore: boolean;
+	/** Whether anything of it may have run, also under an earlier submission that may not be over. */
 	ran: boolean;
 };
 
@@ -215,6 +219,8 @@
 	private readonly sent = new Map<number, Sent>();
 	/** Names of tasks whose jobs have ended and that may still run, so that a job submitted again starts none of them twice. */
 	private readonly fading = new Map<string, Fading>();
+	/** Jobs that ended after something of them may have run, and until when that is remembered: the oldest first. */
+	private readonly begun = new Map<string, number>();
 	/** What waits for room since the last look at all places, by pool. */
 	private readonly lacks = new Map<string, Lack>();
 	private out: ReadonlySet<string> = new Set();
@@ -289,7 +295,7 @@
 			}
 
 			case 'left': {
-				this.drop(event.job, actions);
+				this.drop(event.job, now, actions);
 				break;
 			}
 
@@ -384,6 +390,7 @@
 			rank: now + objective - longestMs,
 			longestMs,
 			objectiveAt: now + objective,
+			ranBefore: this.hasBegun(job.id, now),
 			ran: tasks.some(({spec}) => this.mayStillRun(spec.name, now)),
 		};
 		const why = this.objection(live, now);
@@ -453,7 +460,7 @@
 
 	/** A job of which something may have run, also under an earlier submission, is never told not to have run. */
 	private giveUp(live: Live, why: RefusalCause, now: number): Verdict {
-		if (this.hasRun(live)) {
+		if (live.ranBefore || this.hasRun(live)) {
 			return {kind: 'expired'};
 		}
 
@@ -603,6 +610,19 @@
 		}
 	}
 
+	/** Says whether something may have run of a job that was submitted here before. */
+	private hasBegun(id: string, now: number): boolean {
+		for (const [other, until] of this.begun) {
+			if (now < until) {
+				break;
+			}
+
+			this.begun.delete(other);
+		}
+
+		return this.begun.has(id);
+	}
+
 	private tick(now: number, actions: Action[]): void {
 		for (const [name, {until}] of this.fading) {
 			if (now >= until) {
@@ -894,19 +914,24 @@
 
 	/** Ends a job with an answer, and stops what runs of it. */
 	private finish(live: Live, verdict: Verdict, now: number, actions: Action[]): void {
-		this.drop(live.job.id, actions);
+		this.drop(live.job.id, now, actions);
 		actions.push({
 			kind: 'answer', job: live.job.id, verdict, waitedMs: now - live.arrivedAt,
 		});
 	}
 
-	private drop(id: string, actions: Action[]): void {
+	private drop(id: string, now: number, actions: Action[]): void {
 		const live = this.jobs.get(id);
 		if (!live) {
 			return;
 		}
 
 		this.jobs.delete(id);
+		if (live.ranBefore || this.hasRun(live)) {
+			this.begun.delete(id);
+			this.begun.set(id, now + begunKeptMs);
+		}
+
 		for (const task of live.tasks) {
 			const {state, ref, place} = task;
 			if (state === 'placed') {
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -91,6 +91,8 @@
 	['a place that told of its room without an offer is not asked again', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, roomAt('a', 7)]], []],
 	['offered room is taken', [[0, told('a', {others: room(8)})], [0, submit({aimMs: 900})], [5, offered], [5, roomAt('a', 0)]], ['start j.0 at a as 1']],
 	['a place that gets no work is not asked', [[0, told('a', {others: room(8)})], [0, told('b', {hindrance: 'draining'})], [0, told('c', {room: room(3)})], [0, submit()]], ['want 4 at a']],
+	['a job that is submitted again after it ran is not told that it did not run', [[0, told()], [0, submit()], [1, left], [2, ended('lost')], [3, roomAt('a', 8)], [4, submit()], [200, tick]], ['answer j expired']],
+	['a job that is submitted again after it did not run is', [[0, told('a', {others: room(8)})], [0, submit()], [1, left], [4, submit()], [200, tick]], ['answer j refused overloaded']],
 	['a job that has begun is not refused', [[0, told('a', {others: room(4)})], [0, submit({}, 2)], [100, tick]], []],
 	['a job that has begun is given up at its deadline', [[0, told()], [0, submit({leftMs: 200})], [200, tick]], ['stop 1 at a', 'answer j expired']],
 	['a job whose caller left is stopped', [[0, told()], [0, submit()], [5, left]], ['stop 1 at a']],
