--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -165,18 +165,6 @@
 		return this.inherited ? 'unsettled' : undefined;
 	}
 
-	/** The room that is taken for an owner. */
-	used(owner: string): Room {
-		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
-		for (const {ask} of this.held.values()) {
-			if (ask.owner === owner) {
-				add(sum, ask.room, 1);
-			}
-		}
-
-		return sum;
-	}
-
 	/** The room that an owner can't have: taken by others or kept for them. */
 	takenFrom(owner: string, now: number): Room {
 		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
@@ -200,6 +188,11 @@
 		return [...this.held.values()].filter(({ask}) => ask.owner === owner).map(({ask}) => ask.task);
 	}
 
+	/** Says whether an owner has a run here, waits for room or is kept some. */
+	isAtStake(owner: string): boolean {
+		return this.wants.has(owner) || this.offers.has(owner) || [...this.held.values()].some(({ask}) => ask.owner === owner);
+	}
+
 	/** Says whether all that the owner asked for before it was last lost is over, also what an earlier life of this process started. */
 	isClear(owner: string): boolean {
 		return !this.inherited && ![...this.held.values()].some(({ask, wanted}) => ask.owner === owner && !wanted);
@@ -305,6 +298,17 @@
 		}
 	}
 
+	private used(owner: string): Room {
+		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
+		for (const {ask} of this.held.values()) {
+			if (ask.owner === owner) {
+				add(sum, ask.room, 1);
+			}
+		}
+
+		return sum;
+	}
+
 	private fits(owner: string, size: Room, now: number): boolean {
 		const free = {...this.worker!.room};
 		add(free, this.takenFrom(owner, now), -1);
--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -91,10 +91,10 @@
 const settlingMs = 3000;
 /**
  * After how long a run at a place that is not heard from is certainly over, in milliseconds: the age at
- * which an ask is still taken (600), the silence after which a sidecar gives an entry up (700), a worker's
- * lease by a clock 2% slow (1020) and a stop (50), rounded up.
+ * which an ask is still taken (600), the silence after which a sidecar gives an entry up (700) and when it next
+ * looks (100), a worker's lease by a clock 2% slow (1020) and a stop (50), rounded up.
  */
-export const safeMs = 2400;
+export const safeMs = 2500;
 /** A task is taken to hang beyond this many times its expected time and this many milliseconds more. */
 const hangFactor = 3;
 const hangMs = 600;
@@ -109,6 +109,8 @@
 const wantMost = 16;
 /** How long a task waits whose name still runs for somebody else, in milliseconds. */
 const duplicateMs = 120;
+/** How long a job of which something may have run is remembered after its end, in milliseconds: callers submit again after 1300, and for as long as they wait. */
+const begunKeptMs = 30_000;
 /** Bounds of the time after which a refused caller is told to come back, in milliseconds. */
 const retryLeastMs = 1000;
 const retryMostMs = 5000;
@@ -127,13 +129,18 @@
 	lateLast: boolean;
 	/** Whether tasks are spread over the places where they should end in time, instead of going to the fastest. */
 	spread: boolean;
+	/**
+	 * The least part of the rate of its places that an entry counts on in admission; above it, it is the part of
+	 * what runs there that is its own. Answers loads over what workers can do at tens of entries.
+	 */
+	shareLeast: number;
 	/** How much longer than expected a task may take when such a place is chosen, as a factor: estimates are some 40% off. */
 	margin: number;
 };
 
 /** The policy that runs. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, margin: 2,
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2,
 };
 
 type Task = {
@@ -163,7 +170,9 @@
 	longestMs: number;
 	/** When its last task should have ended to be in time. */
 	objectiveAt: number;
-	/** Whether anything of it may have run, also under an earlier submission. */
+	/** Whether anything of it may have run under an earlier submission that is over. */
+	ranBefore: boolean;
+	/** Whether anything of it may have run, also under an earlier submission that may not be over. */
 	ran: boolean;
 };
 
@@ -171,14 +180,22 @@
 	id: string;
 	linked: boolean;
 	mine: Room;
+	/** Orders that are not settled. */
+	sent: number;
 	health: Health;
 	notBefore: number;
 	/** Whether it was told that something waits for its room, and has not offered any since. */
 	wanted: boolean;
 };
 
+/** Lack is what a pool had no room for: no more than each of the tasks there takes, and the most urgent of them. */
+type Lack = {least: Room; live: Live; task: Task};
+
 type Fading = {ref: number; place: string; until: number; lost: boolean};
 
+/** Standing is what decides the order of a job among others at a time; `late`: it has not begun and can't be in time any more. */
+type Standing = {late: boolean; priority: number; begun: boolean; rank: number};
+
 type Sent = {live: Live; task: Task; place: string; room: Room};
 
 /**
@@ -202,6 +219,10 @@
 	private readonly sent = new Map<number, Sent>();
 	/** Names of tasks whose jobs have ended and that may still run, so that a job submitted again starts none of them twice. */
 	private readonly fading = new Map<string, Fading>();
+	/** Jobs that ended after something of them may have run, and until when that is remembered: the oldest first. */
+	private readonly begun = new Map<string, number>();
+	/** What waits for room since the last look at all places, by pool. */
+	private readonly lacks = new Map<string, Lack>();
 	private out: ReadonlySet<string> = new Set();
 	/** By when all must have ended because the entry stops. */
 	private stopsAt = Number.POSITIVE_INFINITY;
@@ -244,6 +265,11 @@
 		return [...this.sent.values()].filter(sent => sent.place === place).map(({task}) => task.spec.name);
 	}
 
+	/** The number of orders to a place that are not settled. */
+	sentTo(place: string): number {
+		return this.places.get(place)?.sent ?? 0;
+	}
+
 	/** Returns the name of the task that was sent under a reference, if it is not settled. */
 	taskOf(ref: number): string | undefined {
 		return this.sent.get(ref)?.task.spec.name;
@@ -269,7 +295,7 @@
 			}
 
 			case 'left': {
-				this.drop(event.job, actions);
+				this.drop(event.job, now, actions);
 				break;
 			}
 
@@ -285,7 +311,7 @@
 			case 'told': {
 				this.foundAt = Math.min(this.foundAt, now);
 				this.told(event.place, event.report);
-				this.place(now, actions);
+				this.fill(event.place, now, actions);
 				break;
 			}
 
@@ -294,9 +320,9 @@
 				if (place) {
 					place.others = event.others;
 					place.notBefore = 0;
+					this.fill(event.place, now, actions);
 				}
 
-				this.place(now, actions);
 				break;
 			}
 
@@ -320,14 +346,13 @@
 			}
 
 			case 'refused': {
-				this.refused(event, now);
-				this.place(now, actions);
+				this.refused(event, now, actions);
 				break;
 			}
 
 			case 'ended': {
 				this.ended(event, now, actions);
-				this.place(now, actions);
+				this.fill(event.place, now, actions);
 				break;
 			}
 
@@ -365,6 +390,7 @@
 			rank: now + objective - longestMs,
 			longestMs,
 			objectiveAt: now + objective,
+			ranBefore: this.hasBegun(job.id, now),
 			ran: tasks.some(({spec}) => this.mayStillRun(spec.name, now)),
 		};
 		const why = this.objection(live, now);
@@ -397,13 +423,14 @@
 		return this.expectedMs(live, now) > patientUntil - arrivedAt ? 'overloaded' : undefined;
 	}
 
-	/** Estimates how long what goes before a job takes, worked off at the rate of all places of its pool together. */
+	/** Estimates how long what goes before a job takes, worked off at the part of the rate of its pool's places that comes to this entry. */
 	private expectedMs(live: Live, now: number): number {
 		const {pool} = live.job;
+		const standing = this.standing(live, now);
 		let work = 0;
 		for (const other of this.jobs.values()) {
 			const {job, tasks} = other;
-			if (job.pool !== pool || this.precedence(other, live, now) > 0) {
+			if (job.pool !== pool || precedence(this.standing(other, now), standing) > 0) {
 				continue;
 			}
 
@@ -413,11 +440,18 @@
 		}
 
 		let rate = 0;
+		let mine = 0;
+		let others = 0;
 		for (const place of this.places.values()) {
-			rate += place.pool === pool && this.isOpen(place) ? place.room.cpu / this.estimate.slowness(place.id) : 0;
+			if (place.pool === pool && this.isOpen(place)) {
+				rate += place.room.cpu / this.estimate.slowness(place.id);
+				mine += place.mine.cpu;
+				others += place.others.cpu;
+			}
 		}
 
-		return rate === 0 ? 0 : work / rate;
+		const share = mine + others === 0 ? 1 : Math.max(this.policy.shareLeast, mine / (mine + others));
+		return rate === 0 ? 0 : work / (rate * share);
 	}
 
 	private isSettling(now: number): boolean {
@@ -426,7 +460,7 @@
 
 	/** A job of which something may have run, also under an earlier submission, is never told not to have run. */
 	private giveUp(live: Live, why: RefusalCause, now: number): Verdict {
-		if (this.hasRun(live)) {
+		if (live.ranBefore || this.hasRun(live)) {
 			return {kind: 'expired'};
 		}
 
@@ -450,7 +484,7 @@
 		}
 
 		this.places.set(id, {
-			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, health: healthy, notBefore: 0, wanted: false,
+			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, health: healthy, notBefore: 0, wanted: false,
 		});
 	}
 
@@ -500,9 +534,9 @@
 		this.place(now, actions);
 	}
 
-	private refused({place: id, ref, why}: {place: string; ref: number; why: Hindrance}, now: number): void {
+	private refused({place: id, ref, why}: {place: string; ref: number; why: Hindrance}, now: number, actions: Action[]): void {
 		const sent = this.take(ref, id);
-		this.unfade(sent, ref);
+		this.unfade(sent, ref, now, actions);
 		const place = this.places.get(id);
 		if (place && why !== 'duplicate' && why !== 'withdrawn') {
 			place.notBefore = now + fullMs;
@@ -511,6 +545,9 @@
 		if (sent?.task.ref === ref && sent.task.state === 'placed') {
 			sent.task.state = 'waiting';
 			sent.task.notBefore = why === 'duplicate' ? now + duplicateMs : 0;
+			if (this.jobs.get(sent.live.job.id) === sent.live) {
+				this.placeJob(sent.live, now, actions);
+			}
 		}
 	}
 
@@ -518,7 +555,7 @@
 		place: id, ref, outcome, ranMs,
 	}: {place: string; ref: number; outcome: Outcome; ranMs: number}, now: number, actions: Action[]): void {
 		const sent = this.take(ref, id);
-		this.unfade(sent, ref);
+		this.unfade(sent, ref, now, actions);
 		if (!sent) {
 			return;
 		}
@@ -557,6 +594,8 @@
 				this.requeue(task, now);
 				if (task.failures >= live.job.attempts) {
 					this.finish(live, {kind: 'failed'}, now, actions);
+				} else {
+					this.placeJob(live, now, actions);
 				}
 
 				break;
@@ -565,11 +604,25 @@
 			case 'lost': {
 				task.avoid = id;
 				this.requeue(task, now);
+				this.placeJob(live, now, actions);
 				break;
 			}
 		}
 	}
 
+	/** Says whether something may have run of a job that was submitted here before. */
+	private hasBegun(id: string, now: number): boolean {
+		for (const [other, until] of this.begun) {
+			if (now < until) {
+				break;
+			}
+
+			this.begun.delete(other);
+		}
+
+		return this.begun.has(id);
+	}
+
 	private tick(now: number, actions: Action[]): void {
 		for (const [name, {until}] of this.fading) {
 			if (now >= until) {
@@ -630,22 +683,85 @@
 		return ran || tasks.some(({state}) => state !== 'waiting');
 	}
 
+	/** The jobs with tasks that wait, first what goes first. */
+	private waiting(now: number, pool?: string): Live[] {
+		return [...this.jobs.values()]
+			.filter(({job, tasks}) => (pool === undefined || job.pool === pool) && tasks.some(({state}) => state === 'waiting'))
+			.map(live => ({live, standing: this.standing(live, now)}))
+			.toSorted((a, b) => precedence(a.standing, b.standing))
+			.map(({live}) => live);
+	}
+
+	/** Places all that waits, as far as there is room. */
 	private place(now: number, actions: Action[]): void {
-		const waiting = [...this.jobs.values()]
-			.filter(({tasks}) => tasks.some(({state}) => state === 'waiting'))
-			.toSorted((a, b) => this.precedence(a, b, now));
-		const lacking = new Set<string>();
-		for (const live of waiting) {
+		this.lacks.clear();
+		for (const live of this.waiting(now)) {
 			const task = this.placeTasks(live, now, actions);
-			if (task && !lacking.has(live.job.pool)) {
-				lacking.add(live.job.pool);
-				this.want(live, task, now, actions);
+			if (task) {
+				this.note(live, task);
+			}
+		}
+
+		for (const lack of this.lacks.values()) {
+			this.want(lack, now, actions);
+		}
+	}
+
+	/** Places the tasks of one job that wait again, when all others that wait have found no room. */
+	private placeJob(live: Live, now: number, actions: Action[]): void {
+		const task = this.placeTasks(live, now, actions);
+		if (task) {
+			this.note(live, task);
+			this.want(this.lacks.get(live.job.pool)!, now, actions);
+		}
+	}
+
+	/** Fills the room of one place, after what is known of it has changed. Nothing that waits has found room elsewhere. */
+	private fill(id: string, now: number, actions: Action[]): void {
+		const place = this.places.get(id);
+		const lack = place && this.lacks.get(place.pool);
+		if (!lack || !this.isUsable(place, now)) {
+			return;
+		}
+
+		if (within(lack.least, freeRoom(place))) {
+			this.lacks.delete(place.pool);
+			for (const live of this.waiting(now, place.pool)) {
+				const task = this.placeTasks(live, now, actions, place);
+				if (task) {
+					this.note(live, task);
+				}
 			}
 		}
+
+		const left = this.lacks.get(place.pool);
+		if (left) {
+			this.want(left, now, actions);
+		}
+	}
+
+	/** Takes in that a task has found no room. */
+	private note(live: Live, task: Task): void {
+		const {room} = task.spec;
+		const lack = this.lacks.get(live.job.pool);
+		if (!lack) {
+			this.lacks.set(live.job.pool, {least: {...room}, live, task});
+			return;
+		}
+
+		lack.least.cpu = Math.min(lack.least.cpu, room.cpu);
+		lack.least.memoryMb = Math.min(lack.least.memoryMb, room.memoryMb);
+		lack.least.accelerators = Math.min(lack.least.accelerators, room.accelerators);
 	}
 
 	/** Asks the places of a pool for room for the most urgent task that has found none. */
-	private want({job: {pool}, rank}: Live, {spec: {room}}: Task, now: number, actions: Action[]): void {
+	private want({live, task}: Lack, now: number, actions: Action[]): void {
+		if (task.state !== 'waiting' || !this.jobs.has(live.job.id)) {
+			return;
+		}
+
+		const {job: {pool}, rank} = live;
+		const {room} = task.spec;
 		let asked = 0;
 		for (const place of this.places.values()) {
 			if (place.pool !== pool || !this.isOpen(place) || !within(room, place.room)) {
@@ -665,31 +781,25 @@
 		}
 	}
 
-	/** What can be in time goes first, then what is more urgent, then what has begun, then what must begin soonest to be in time. */
-	private precedence(a: Live, b: Live, now: number): number {
-		const late = this.policy.lateLast ? Number(this.isTooLate(a, now)) - Number(this.isTooLate(b, now)) : 0;
-		if (late !== 0) {
-			return late;
-		}
-
-		if (this.policy.urgentFirst && a.job.priority !== b.job.priority) {
-			return a.job.priority - b.job.priority;
-		}
-
-		const begun = this.policy.begunFirst ? Number(this.hasRun(b)) - Number(this.hasRun(a)) : 0;
-		return begun === 0 ? a.rank - b.rank : begun;
-	}
-
-	/** Says whether a job that has not begun can't be in time any more. */
-	private isTooLate(live: Live, now: number): boolean {
-		return now > live.rank && !this.hasRun(live);
+	/** What decides the order of a job among others at a time. */
+	private standing(live: Live, now: number): Standing {
+		const hasRun = this.hasRun(live);
+		return {
+			late: this.policy.lateLast && now > live.rank && !hasRun,
+			priority: this.policy.urgentFirst ? live.job.priority : 0,
+			begun: this.policy.begunFirst && hasRun,
+			rank: live.rank,
+		};
 	}
 
 	/** Places the tasks of a job that wait, the longest first, as far as there is room. Returns the first for which there is none. */
-	private placeTasks(live: Live, now: number, actions: Action[]): Task | undefined {
+	private placeTasks(live: Live, now: number, actions: Action[], only?: Place): Task | undefined {
+		const lack = this.lacks.get(live.job.pool);
 		for (const task of live.tasks) {
 			if (task.state === 'waiting' && now >= task.notBefore && !this.mayStillRun(task.spec.name, now)) {
-				const place = this.choose(live, task, now);
+				// What is at least as large as a task that has just found no room finds none either.
+				const isHopeless = lack !== undefined && within(lack.task.spec.room, task.spec.room);
+				const place = isHopeless ? undefined : this.choose(live, task, now, only);
 				if (!place) {
 					return task;
 				}
@@ -701,9 +811,11 @@
 		return undefined;
 	}
 
-	private unfade(sent: Sent | undefined, ref: number): void {
+	/** Takes in that what ran under a name is over, so that a job submitted again may start it. */
+	private unfade(sent: Sent | undefined, ref: number, now: number, actions: Action[]): void {
 		if (sent && this.fading.get(sent.task.spec.name)?.ref === ref) {
 			this.fading.delete(sent.task.spec.name);
+			this.place(now, actions);
 		}
 	}
 
@@ -722,12 +834,12 @@
 	 * largest part of its room free, so that entries which see the same places seldom choose the same;
 	 * where it would end in time at none, the fastest.
 	 */
-	private choose(live: Live, task: Task, now: number): Place | undefined {
+	private choose(live: Live, task: Task, now: number, only?: Place): Place | undefined {
 		const {job, objectiveAt} = live;
 		const usualMs = this.estimate.taskMs(job.route, task.spec.estimateMs);
 		let best: {place: Place; late: number; cost: number} | undefined;
-		for (const place of this.places.values()) {
-			if (place.pool !== job.pool || now < place.notBefore || !this.isOpen(place) || !this.mayTry(place, now)) {
+		for (const place of only ? [only] : this.places.values()) {
+			if (place.pool !== job.pool || !this.isUsable(place, now)) {
 				continue;
 			}
 
@@ -754,6 +866,10 @@
 		return place.linked && place.hindrance === undefined && !this.out.has(place.zone);
 	}
 
+	private isUsable(place: Place, now: number): boolean {
+		return now >= place.notBefore && this.isOpen(place) && this.mayTry(place, now);
+	}
+
 	private mayTry(place: Place, now: number): boolean {
 		switch (standingOf(place.health, now)) {
 			case 'open': {
@@ -786,6 +902,7 @@
 			live, task, place: place.id, room: task.spec.room,
 		});
 		add(place.mine, task.spec.room, 1);
+		place.sent++;
 		if (standingOf(place.health, now) === 'probe') {
 			place.health = probe(place.health);
 		}
@@ -797,19 +914,24 @@
 
 	/** Ends a job with an answer, and stops what runs of it. */
 	private finish(live: Live, verdict: Verdict, now: number, actions: Action[]): void {
-		this.drop(live.job.id, actions);
+		this.drop(live.job.id, now, actions);
 		actions.push({
 			kind: 'answer', job: live.job.id, verdict, waitedMs: now - live.arrivedAt,
 		});
 	}
 
-	private drop(id: string, actions: Action[]): void {
+	private drop(id: string, now: number, actions: Action[]): void {
 		const live = this.jobs.get(id);
 		if (!live) {
 			return;
 		}
 
 		this.jobs.delete(id);
+		if (live.ranBefore || this.hasRun(live)) {
+			this.begun.delete(id);
+			this.begun.set(id, now + begunKeptMs);
+		}
+
 		for (const task of live.tasks) {
 			const {state, ref, place} = task;
 			if (state === 'placed') {
@@ -839,12 +961,21 @@
 		const at = this.places.get(place);
 		if (at) {
 			add(at.mine, sent.room, -1);
+			at.sent--;
 		}
 
 		return sent;
 	}
 }
 
+/** What can be in time goes first, then what is more urgent, then what has begun, then what must begin soonest to be in time. */
+function precedence(a: Standing, b: Standing): number {
+	return Number(a.late) - Number(b.late)
+		|| a.priority - b.priority
+		|| Number(b.begun) - Number(a.begun)
+		|| a.rank - b.rank;
+}
+
 function freeRoom({room, others, mine}: Place): Room {
 	return {
 		cpu: room.cpu - others.cpu - mine.cpu,
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,14 +1,14 @@
-import type {AddressInfo, Server} from 'node:net';
 import type {Logger} from 'pino';
 import {
 	Schedule, type Action, type Event, type Job, type Start, type Verdict,
 } from '../decide/schedule.js';
 import type {Clock} from '../ports/clock.js';
 import type {DispatchMeters} from './meters.js';
+import {Book} from './book.js';
 import {
-	dial, listen, splitAddress, type Link, type LinkEnd, type Receiver,
+	Links, type Link, type LinkEnd, type Receiver,
 } from './link.js';
-import type {Message, Stamp, ToEntry} from './messages.js';
+import type {Gossip, Message, ToEntry} from './messages.js';
 
 /** DispatcherSettings are what an entry needs to know to dispatch jobs kept in memory. */
 export type DispatcherSettings = {
@@ -22,12 +22,20 @@
 
 /** How often waiting jobs are looked at, in milliseconds. */
 const tickMs = 20;
-/** How often a lost entry is dialled, in milliseconds, and for how long unless it is a seed. */
+/** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 500;
-const forgetMs = 60_000;
-
-type Known = {address: string; link?: Link; dialling: boolean; since: number; seed: boolean};
-type Sidecar = {link: Link; stamp: Stamp; stampedAt: number};
+/**
+ * How long an entry waits for the store to give it a desired state that another entry holds, in milliseconds, and
+ * how often it then asks one for it. A state of thousands of routes takes a thin link a tenth of a second, so it is not sent unasked.
+ */
+const fetchMs = 300;
+/** By how many times that pause grows where what comes can't be used. */
+const fetchMostPauses = 32;
+/** How long changes of the addresses of entries are collected before sidecars are told, in milliseconds: at a start there is one an entry. */
+const tellMs = 100;
+
+/** Sidecar is one with a link: its worker's clock in milliseconds, as it told it last, and when. */
+type Sidecar = {link: Link; stamp: number; stampedAt: number};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -37,11 +45,8 @@
 export class Dispatcher implements Receiver {
 	static async create(settings: DispatcherSettings, clock: Clock, log: Logger, meters: DispatchMeters): Promise<Dispatcher> {
 		const dispatcher = new Dispatcher(settings, clock, log, meters);
-		const server = await listen(settings.address, clock, dispatcher);
-		const [host] = splitAddress(settings.address);
-		dispatcher.server = server;
-		dispatcher.address = `${host}:${(server.address() as AddressInfo).port}`;
-		dispatcher.redial();
+		dispatcher.address = await dispatcher.links.listen(settings.address);
+		dispatcher.book.open();
 		return dispatcher;
 	}
 
@@ -52,10 +57,11 @@
 	/** Called with a desired state that another entry holds. */
 	onDesired?: (asOf: number, text: string) => void;
 
-	private server?: Server;
+	private readonly links: Links;
 	private readonly sidecars = new Map<string, Sidecar>();
-	private readonly entries = new Set<Link>();
-	private readonly known = new Map<string, Known>();
+	/** Links to other entries, with how new the desired state is that each holds. */
+	private readonly entries = new Map<Link, number>();
+	private readonly book: Book;
 	private readonly waiters = new Map<string, Set<Waiter>>();
 	private desired: {asOf: number; text: string} = {asOf: 0, text: ''};
 	private out: readonly string[] = [];
@@ -64,7 +70,10 @@
 	private alarm?: NodeJS.Timeout;
 	/** The addresses of entries as sidecars were told of last. */
 	private toldAddresses = '';
-	private readonly timers: NodeJS.Timeout[];
+	private telling?: NodeJS.Timeout;
+	private fetching?: NodeJS.Timeout;
+	private fetches = 0;
+	private readonly timer: NodeJS.Timeout;
 
 	private constructor(
 		private readonly settings: DispatcherSettings,
@@ -73,17 +82,19 @@
 		private readonly meters: DispatchMeters,
 	) {
 		this.address = settings.address;
+		this.links = Links.create(clock, this);
+		this.book = Book.create({
+			clock, links: this.links, redialMs, own: () => this.address, opened: link => {
+				this.hello(link);
+				this.tellAddresses();
+			},
+		});
 		this.know(settings.seeds, true);
-		this.timers = [
-			setInterval(() => {
-				if (this.schedule.size > 0) {
-					this.apply({kind: 'tick'});
-				}
-			}, tickMs),
-			setInterval(() => {
-				this.redial();
-			}, redialMs),
-		];
+		this.timer = setInterval(() => {
+			if (this.schedule.size > 0) {
+				this.apply({kind: 'tick'});
+			}
+		}, tickMs);
 	}
 
 	/**
@@ -115,26 +126,21 @@
 	/** Takes in the desired state in force, to be passed on as `text`, and the zones that are out of service. */
 	adopt(asOf: number, text: string, out: readonly string[]): void {
 		this.desired = {asOf, text};
+		this.fetches = 0;
 		this.out = out;
 		this.apply({kind: 'zones', out: new Set(out)});
 		for (const {link} of this.sidecars.values()) {
 			link.send({kind: 'zones', asOf, out});
 		}
 
-		for (const link of this.entries) {
-			link.send({kind: 'desired', asOf, text});
+		for (const link of this.entries.keys()) {
+			link.send({kind: 'newest', asOf});
 		}
 	}
 
 	/** Learns addresses of other entries. */
 	know(addresses: readonly string[], seed = false): void {
-		for (const address of addresses) {
-			if (address !== this.address && !this.known.has(address)) {
-				this.known.set(address, {
-					address, dialling: false, since: this.clock.mono(), seed,
-				});
-			}
-		}
+		this.book.know(addresses, seed);
 	}
 
 	/** Admits from now on only what should end within a time, in milliseconds. */
@@ -144,19 +150,16 @@
 
 	/** Ends all links. */
 	close(): void {
-		for (const timer of this.timers) {
-			clearInterval(timer);
-		}
-
+		clearInterval(this.timer);
+		this.book.close();
 		clearTimeout(this.alarm);
-		this.server?.close();
-		for (const {link} of this.sidecars.values()) {
-			link.close();
-		}
+		clearTimeout(this.telling);
+		clearTimeout(this.fetching);
+		this.links.close();
+	}
 
-		for (const link of this.entries) {
-			link.close();
-		}
+	isAtStake({peer}: Link): boolean {
+		return peer?.role === 'sidecar' && this.schedule.sentTo(peer.node) > 0;
 	}
 
 	receive(message: Message, link: Link): void {
@@ -175,14 +178,12 @@
 				break;
 			}
 
-			case 'entries': {
-				this.know(message.addresses);
-				break;
-			}
-
+			case 'entries':
+			case 'newest':
+			case 'fetch':
 			case 'desired': {
-				if (message.asOf > this.desired.asOf) {
-					this.onDesired?.(message.asOf, message.text);
+				if (link.peer?.role === 'entry') {
+					this.gossip(message, link);
 				}
 
 				break;
@@ -198,30 +199,80 @@
 		}
 	}
 
-	ended(link: Link, why: LinkEnd): void {
+	ended(link: Link, why: LinkEnd, problem?: string): void {
 		this.entries.delete(link);
-		for (const known of this.known.values()) {
-			if (known.link === link) {
-				known.link = undefined;
-				known.since = this.clock.mono();
-			}
-		}
-
+		this.book.ended(link);
 		const {peer} = link;
-		if (!peer) {
+		if (!peer && !problem) {
 			return;
 		}
 
 		this.meters.linksLost.inc({why});
+		this.meters.malformed.inc({from: peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
 		this.log.warn({
-			event: 'link-lost', node: peer.node, role: peer.role, why, tasks: this.schedule.tasksAt(peer.node),
+			event: 'link-lost', node: peer?.node, role: peer?.role, remote: link.remote, why, problem, tasks: peer && this.schedule.tasksAt(peer.node),
 		}, 'link lost');
+		if (!peer) {
+			return;
+		}
+
 		if (this.sidecars.get(peer.node)?.link === link) {
 			this.sidecars.delete(peer.node);
 			this.apply({kind: 'down', place: peer.node});
 		}
 	}
 
+	private gossip(message: Gossip, link: Link): void {
+		switch (message.kind) {
+			case 'entries': {
+				this.know(message.addresses);
+				break;
+			}
+
+			case 'newest': {
+				this.entries.set(link, message.asOf);
+				this.catchUp();
+				break;
+			}
+
+			case 'fetch': {
+				link.send({kind: 'desired', ...this.desired});
+				break;
+			}
+
+			case 'desired': {
+				if (message.asOf > this.desired.asOf) {
+					this.onDesired?.(message.asOf, message.text);
+				}
+
+				break;
+			}
+		}
+	}
+
+	/** Asks other entries, one after the other, for a newer desired state that they hold, unless the store gives it first. */
+	private catchUp(): void {
+		const ahead = [...this.entries].filter(([, asOf]) => asOf > this.desired.asOf).map(([link]) => link);
+		if (ahead.length === 0 || this.fetching) {
+			return;
+		}
+
+		const knowsNone = this.desired.asOf === 0 && this.fetches === 0;
+		const pauseMs = fetchMs * Math.min(fetchMostPauses, 2 ** Math.max(0, this.fetches - 2));
+		this.fetching = setTimeout(() => {
+			this.fetching = undefined;
+			const link = ahead.filter(({alive}) => alive)[this.fetches++ % ahead.length];
+			if (link && this.entries.get(link)! > this.desired.asOf) {
+				this.log.info({
+					event: 'fetch', asOf: this.desired.asOf, newer: this.entries.get(link), from: link.peer?.node,
+				}, 'asks an entry for its desired state');
+				link.send({kind: 'fetch'});
+			}
+
+			this.catchUp();
+		}, knowsNone ? 0 : pauseMs);
+	}
+
 	private leave(job: string, answer: Waiter): void {
 		const waiters = this.waiters.get(job);
 		if (!waiters?.delete(answer) || waiters.size > 0) {
@@ -256,35 +307,34 @@
 
 	private greetEntry(link: Link, address: string | undefined): void {
 		if (address) {
-			this.know([address]);
-			const known = this.known.get(address);
-			if (known && !known.link) {
-				known.link = link;
-				this.hello(link);
-			}
+			this.book.accept(address, link);
 		}
 
-		this.entries.add(link);
+		this.hello(link);
+		this.entries.set(link, 0);
 		link.send({kind: 'entries', addresses: this.addresses()});
 		if (this.desired.asOf > 0) {
-			link.send({kind: 'desired', ...this.desired});
+			link.send({kind: 'newest', asOf: this.desired.asOf});
 		}
 
 		this.tellAddresses();
 	}
 
-	/** Tells all sidecars which entries are up, if that has changed. */
+	/** Tells all sidecars soon which entries are up, if that has changed. */
 	private tellAddresses(): void {
-		const addresses = this.addresses();
-		const text = addresses.toSorted().join(',');
-		if (text === this.toldAddresses) {
-			return;
-		}
+		this.telling ??= setTimeout(() => {
+			this.telling = undefined;
+			const addresses = this.addresses();
+			const text = addresses.toSorted().join(',');
+			if (text === this.toldAddresses) {
+				return;
+			}
 
-		this.toldAddresses = text;
-		for (const {link} of this.sidecars.values()) {
-			link.send({kind: 'entries', addresses});
-		}
+			this.toldAddresses = text;
+			for (const {link} of this.sidecars.values()) {
+				link.send({kind: 'entries', addresses});
+			}
+		}, tellMs);
 	}
 
 	private hear(message: ToEntry, link: Link): void {
@@ -339,7 +389,7 @@
 		}
 	}
 
-	private date(sidecar: Sidecar, stamp: Stamp): void {
+	private date(sidecar: Sidecar, stamp: number): void {
 		sidecar.stamp = stamp;
 		sidecar.stampedAt = this.clock.mono();
 	}
@@ -417,40 +467,12 @@
 
 	private hello(link: Link): void {
 		const {node, life} = this.settings;
-		link.send({
+		link.greet({
 			kind: 'hello', role: 'entry', node, life, address: this.address,
 		});
 	}
 
 	private addresses(): string[] {
-		return [this.address, ...[...this.known.values()].filter(({link}) => link?.alive).map(({address}) => address)];
-	}
-
-	private redial(): void {
-		for (const known of this.known.values()) {
-			if (!known.seed && !known.link && this.clock.mono() - known.since > forgetMs) {
-				this.known.delete(known.address);
-			} else if (!known.link && !known.dialling) {
-				void this.open(known);
-			}
-		}
-	}
-
-	private async open(known: Known): Promise<void> {
-		known.dialling = true;
-		const link = await dial(known.address, this.clock, this);
-		known.dialling = false;
-		if (!link) {
-			return;
-		}
-
-		if (known.link) {
-			link.close();
-			return;
-		}
-
-		known.link = link;
-		this.hello(link);
-		this.tellAddresses();
+		return [this.address, ...this.book.reached];
 	}
 }
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -2,15 +2,18 @@
 import {
 	Guard, type Action, type Ask, type Event, type Worker,
 } from '../decide/guard.js';
+import {subsetSize} from '../decide/announce.js';
 import {raise} from '../decide/fence.js';
+import {rank} from '../decide/rendezvous.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, Look, Reply, Run,
 } from '../ports/executor.js';
 import {deferred} from '../deferred.js';
 import type {DriverMeters} from './meters.js';
+import {Book} from './book.js';
 import {
-	dial, type Link, type LinkEnd, type Receiver,
+	Links, type Link, type LinkEnd, type Receiver,
 } from './link.js';
 import type {Message, ToSidecar} from './messages.js';
 
@@ -45,11 +48,10 @@
 const pauseMs = 50;
 /** By how many times that pause grows while it stays away. */
 const pauseLimit = 6;
-/** How often a lost entry is dialled, in milliseconds, and for how long unless it is a seed. */
+/** How often a lost entry is dialled, in milliseconds. */
 const redialMs = 250;
-const forgetMs = 60_000;
-
-type Known = {address: string; link?: Link; dialling: boolean; since: number; seed: boolean};
+/** How long before a link that is not wanted any more is ended its entry is told to send nothing there, in milliseconds: an order may be 600 old. */
+const releaseMs = 1000;
 
 /**
  * Driver is a sidecar's side of jobs kept in memory: it carries out what its guard decides at the
@@ -62,8 +64,12 @@
 
 	readonly guard = Guard.create();
 
-	private readonly known = new Map<string, Known>();
-	private readonly links = new Set<Link>();
+	private readonly book: Book;
+	/** Those whose entry has said who it is, by its life there. */
+	private readonly owners = new Map<string, Link>();
+	private readonly links: Links;
+	/** Links that are not wanted any more, and since when. */
+	private readonly releasing = new Map<Link, number>();
 	private fence = 0;
 	private fenceRefusals = 0;
 	/** The worker's clock at a time of ours. */
@@ -76,7 +82,6 @@
 	private wake = deferred<void>();
 	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
 	private closed = false;
-	private readonly timer: NodeJS.Timeout;
 
 	private readonly clock: Clock;
 	private readonly executor: Executor;
@@ -87,17 +92,29 @@
 		({
 			clock: this.clock, executor: this.executor, log: this.log, meters: this.meters,
 		} = parts);
+		this.links = Links.create(this.clock, this);
+		this.book = Book.create({
+			clock: this.clock, links: this.links, redialMs, own: () => undefined, opened(link) {
+				link.greet({
+					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.life,
+				});
+			},
+			subset: {
+				most: subsetSize,
+				rank: addresses => rank(settings.node, addresses),
+				beyond: links => {
+					this.release(links);
+				},
+			},
+		});
 		this.know(settings.seeds, true);
-		this.timer = setInterval(() => {
-			this.redial();
-		}, redialMs);
-		this.redial();
+		this.book.open();
 		void this.watch();
 	}
 
 	/** The number of entries with a link. */
 	get linked(): number {
-		return this.links.size;
+		return this.owners.size;
 	}
 
 	/** Takes in what the worker reported of itself, with its clock at that time. */
@@ -120,13 +137,7 @@
 
 	/** Learns addresses where entries may be found. */
 	know(addresses: readonly string[], seed = false): void {
-		for (const address of addresses) {
-			if (!this.known.has(address)) {
-				this.known.set(address, {
-					address, dialling: false, since: this.clock.mono(), seed,
-				});
-			}
-		}
+		this.book.know(addresses, seed);
 	}
 
 	/** Takes in that a life of the worker has ended in an orderly way. */
@@ -144,15 +155,17 @@
 		}
 
 		this.closed = true;
-		clearInterval(this.timer);
-		for (const link of this.links) {
-			link.close();
-		}
-
+		this.book.close();
+		this.links.close();
 		this.wake.resolve();
 	}
 
 	receive(message: Message, link: Link): void {
+		if (link.peer?.role !== 'entry') {
+			link.close('malformed', 'only entries give orders');
+			return;
+		}
+
 		switch (message.kind) {
 			case 'hello': {
 				this.welcome(link);
@@ -178,30 +191,36 @@
 			case 'offer':
 			case 'refused':
 			case 'ended':
+			case 'newest':
+			case 'fetch':
 			case 'desired': {
 				break;
 			}
 		}
 	}
 
-	ended(link: Link, why: LinkEnd): void {
-		this.links.delete(link);
-		for (const known of this.known.values()) {
-			if (known.link === link) {
-				known.link = undefined;
-				known.since = this.clock.mono();
-			}
+	ended(link: Link, why: LinkEnd, problem?: string): void {
+		this.book.ended(link);
+		this.releasing.delete(link);
+		if (!link.peer && !problem) {
+			return;
 		}
 
-		if (link.peer) {
-			this.log.warn({
-				event: 'entry-lost', entry: link.peer.node, why, tasks: this.guard.tasksOf(ownerOf(link)),
-			}, 'link to an entry lost; its runs are stopped');
-			this.meters.linksLost.inc({why});
+		this.meters.linksLost.inc({why});
+		this.meters.malformed.inc({from: link.peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
+		this.log.warn({
+			event: 'entry-lost', entry: link.peer?.node, remote: link.remote, why, problem, tasks: link.peer && this.guard.tasksOf(ownerOf(link)),
+		}, 'link to an entry lost; its runs are stopped');
+		if (link.peer && this.owners.get(ownerOf(link)) === link) {
+			this.owners.delete(ownerOf(link));
 			this.apply({kind: 'ownerLost', owner: ownerOf(link)});
 		}
 	}
 
+	isAtStake({peer}: Link): boolean {
+		return peer !== undefined && this.guard.isAtStake(ownerOf({peer}));
+	}
+
 	beforeFlush(link: Link): void {
 		if (link.peer) {
 			const owner = ownerOf(link);
@@ -211,15 +230,30 @@
 		}
 	}
 
-	private welcome(link: Link): void {
-		const owner = ownerOf(link);
-		for (const other of this.links) {
-			if (other !== link && other.peer && ownerOf(other) === owner) {
-				other.close();
+	/** Ends links that are not wanted any more, once their entry was told so and nothing of it is under way; tells it where one is wanted again. */
+	private release(beyond: readonly Link[]): void {
+		for (const link of this.releasing.keys()) {
+			if (!beyond.includes(link)) {
+				this.releasing.delete(link);
+				this.tell(link);
 			}
 		}
 
-		this.links.add(link);
+		for (const link of beyond.filter(({peer}) => peer)) {
+			const since = this.releasing.get(link);
+			if (since === undefined) {
+				this.releasing.set(link, this.clock.mono());
+				this.tell(link);
+			} else if (this.clock.mono() - since > releaseMs && !this.isAtStake(link)) {
+				link.close('released');
+			}
+		}
+	}
+
+	private welcome(link: Link): void {
+		const owner = ownerOf(link);
+		this.owners.get(owner)?.close();
+		this.owners.set(owner, link);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
 		this.tell(link);
 	}
@@ -300,19 +334,19 @@
 
 			case 'refuse': {
 				this.meters.refusals.inc({why: action.why});
-				this.linkOf(action.owner)?.send({kind: 'refused', ref: action.ref, why: action.why});
+				this.owners.get(action.owner)?.send({kind: 'refused', ref: action.ref, why: action.why});
 				break;
 			}
 
 			case 'offer': {
 				this.meters.offers.inc();
-				this.linkOf(action.owner)?.send({kind: 'offer'});
+				this.owners.get(action.owner)?.send({kind: 'offer'});
 				break;
 			}
 
 			case 'end': {
 				this.meters.ends.inc({outcome: action.outcome});
-				this.linkOf(action.owner)?.send({
+				this.owners.get(action.owner)?.send({
 					kind: 'ended', ref: action.ref, outcome: action.outcome, ranMs: Math.round(action.ranMs),
 				});
 				break;
@@ -364,27 +398,37 @@
 				continue;
 			}
 
-			const askedAt = this.clock.mono();
-			if (this.unanswered === 0) {
-				this.answeredAt = askedAt;
+			try {
+				await this.renew(worker);
+			} catch (error) {
+				// Without renewals all runs would lapse, so an answer that can't be handled costs that answer only.
+				this.log.error({event: 'look-failed', error: (error as Error).stack}, 'answer of the worker could not be handled');
+				await this.clock.sleep(pauseMs);
 			}
+		}
+	}
 
-			// What did not answer for as long as a lease lasts is left to lapse, so that its runs are certainly over some time.
-			const renews = askedAt - this.answeredAt < this.settings.leaseMs;
-			if (renews) {
-				this.renewedAt = askedAt;
-			}
+	private async renew(worker: Worker): Promise<void> {
+		const askedAt = this.clock.mono();
+		if (this.unanswered === 0) {
+			this.answeredAt = askedAt;
+		}
 
-			const look = await this.executor.renew({
-				fence: this.fence,
-				leaseUntil: renews ? Math.floor(this.workerClock() + this.settings.leaseMs) : undefined,
-				seen: this.guard.seen,
-				waitMs: this.waitMs(askedAt),
-				marginMs: Math.min(marginMostMs, marginMs * (2 ** this.unanswered)),
-			}, worker.life);
-			this.learn(look);
-			await this.take(look, askedAt);
+		// What did not answer for as long as a lease lasts is left to lapse, so that its runs are certainly over some time.
+		const renews = askedAt - this.answeredAt < this.settings.leaseMs;
+		if (renews) {
+			this.renewedAt = askedAt;
 		}
+
+		const look = await this.executor.renew({
+			fence: this.fence,
+			leaseUntil: renews ? Math.floor(this.workerClock() + this.settings.leaseMs) : undefined,
+			seen: this.guard.seen,
+			waitMs: this.waitMs(askedAt),
+			marginMs: Math.min(marginMostMs, marginMs * (2 ** this.unanswered)),
+		}, worker.life);
+		this.learn(look);
+		await this.take(look, askedAt);
 	}
 
 	private async take(look: Look, askedAt: number): Promise<void> {
@@ -459,7 +503,7 @@
 	}
 
 	private tellAll(): void {
-		for (const link of this.links) {
+		for (const link of this.owners.values()) {
 			this.tell(link);
 		}
 	}
@@ -473,39 +517,15 @@
 				pool: worker?.pool ?? '',
 				room: worker?.room ?? {cpu: 0, memoryMb: 0, accelerators: 0},
 				others: this.guard.takenFrom(ownerOf(link), this.clock.mono()),
-				hindrance: this.guard.hindrance,
+				hindrance: this.guard.hindrance ?? (this.releasing.has(link) ? 'withdrawn' : undefined),
 			},
 			stamp: this.workerClock(),
 			clear: this.guard.isClear(ownerOf(link)),
 		});
 	}
-
-	private linkOf(owner: string): Link | undefined {
-		return [...this.links].find(link => ownerOf(link) === owner);
-	}
-
-	private redial(): void {
-		for (const known of this.known.values()) {
-			if (!known.seed && !known.link && this.clock.mono() - known.since > forgetMs) {
-				this.known.delete(known.address);
-			} else if (!known.link && !known.dialling) {
-				void this.open(known);
-			}
-		}
-	}
-
-	private async open(known: Known): Promise<void> {
-		known.dialling = true;
-		const link = await dial(known.address, this.clock, this);
-		known.dialling = false;
-		known.link = link;
-		link?.send({
-			kind: 'hello', role: 'sidecar', node: this.settings.node, life: this.settings.life,
-		});
-	}
 }
 
 /** The name of the entry's life at the other end. */
-function ownerOf(link: Link): string {
-	return `${link.peer!.node}/${link.peer!.life}`;
+function ownerOf({peer}: Pick<Link, 'peer'>): string {
+	return `${peer!.node}/${peer!.life}`;
 }
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -1,58 +1,83 @@
 import {
-	createConnection, createServer, type Server, type Socket,
+	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {Buffer} from 'node:buffer';
 import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
-import type {Message} from './messages.js';
+import {readMessage, type Hello, type Message} from './messages.js';
 
-/** How often a side that has nothing else to send says that it is alive, in milliseconds. */
-export const beatMs = 200;
-/** The silence after which a link is given up, in milliseconds: well under the time after which a client submits again (1300). */
-export const silenceMs = 700;
+/** How often a side that has nothing else to send says that it is alive while something depends on the link, in milliseconds. */
+const beatMs = 200;
+/** The silence after which such a link is given up, in milliseconds: well under the time after which a client submits again (1300). */
+const silenceMs = 700;
+/** The same while nothing depends on it. What links cost at rest grows with entries times sidecars. */
+const idleBeatMs = 1000;
+const idleSilenceMs = 2600;
+/** How often all links are looked at, in milliseconds. */
+const checkMs = 100;
+/** By how much later than `silenceMs` a link that something depends on may be given up, in milliseconds. */
+export const givenUpMs = silenceMs + checkMs;
 /** How long a new connection may take, in milliseconds. */
 const connectMs = 500;
 /** What may wait to be sent before a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
+/** The longest line that is read, in characters: a desired state of thousands of routes takes under a tenth. */
+const lineLimit = 16_000_000;
 
-/** Why a link ended. */
-export type LinkEnd = 'closed' | 'silent' | 'stuck' | 'malformed' | 'refused';
+/** Why a link ended: `released` when this side has no more use for it, `failed` when a message of it could not be handled. */
+export type LinkEnd = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
 /** Receiver takes what arrives on a link. */
 export type Receiver = {
 	receive(message: Message, link: Link): void;
-	/** Called once, when the link is over. */
-	ended(link: Link, why: LinkEnd): void;
+	/** Called once, when the link is over. `problem` says what was wrong with a message that ended it. */
+	ended(link: Link, why: LinkEnd, problem?: string): void;
 	/** Called before messages are sent, to add one that dates or sums up the others. */
 	beforeFlush?(link: Link): void;
+	/** Says whether something is under way that the other side's silence would put in doubt. */
+	isAtStake(link: Link): boolean;
 };
 
 /**
  * Link is an ordered, kept connection between two of our processes. Messages of one turn of the loop
- * travel together, as one line of JSON. A link that is silent for `silenceMs` is over, whether or not
- * the network said so.
+ * travel together, as one line of JSON. A link that is silent for `silenceMs` while something depends on it is
+ * over, whether or not the network said so; one at rest may be silent for `idleSilenceMs`.
  *
  * Not connect calls: a task's few small messages are batched by turn and must be ordered with the beats
  * that date them.
  */
 export class Link {
-	static create(socket: Socket, clock: Clock, receiver: Receiver): Link {
-		return new Link(socket, clock, receiver);
+	static create(socket: Socket, clock: Clock, receiver: Receiver, ended: (link: Link) => void): Link {
+		return new Link(socket, clock, receiver, ended);
 	}
 
-	/** What the other side said of itself, once it has. */
-	peer?: {node: string; life: string; role: 'entry' | 'sidecar'; address?: string};
+	/** What the other side said of itself, once it has. Nothing else is taken from it before. */
+	peer?: Hello;
+	/** Messages of kinds that are not known here, as a later version may send. */
+	unknown = 0;
 
+	/** The other side's network address, as host:port. */
+	readonly remote: string;
+
+	private greeted = false;
 	private heardAt: number;
 	private sentAt: number;
+	/** Since when something here depends on the link, and until when something at the other side may. */
+	private stakeSince?: number;
+	private neededUntil = 0;
 	private pending: Message[] = [];
 	private scheduled = false;
 	private over = false;
 	private rest = '';
 	private readonly decoder = new StringDecoder('utf8');
-	private readonly timer: NodeJS.Timeout;
 
-	private constructor(private readonly socket: Socket, private readonly clock: Clock, private readonly receiver: Receiver) {
+	private constructor(
+		private readonly socket: Socket,
+		private readonly clock: Clock,
+		private readonly receiver: Receiver,
+		private readonly onEnd: (link: Link) => void,
+	) {
+		this.remote = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.heardAt = clock.mono();
 		this.sentAt = this.heardAt;
 		socket.setNoDelay(true);
@@ -65,9 +90,6 @@
 		socket.on('close', () => {
 			this.end('closed');
 		});
-		this.timer = setInterval(() => {
-			this.check();
-		}, beatMs / 2);
 	}
 
 	/** Says whether the link is up. */
@@ -75,6 +97,14 @@
 		return !this.over;
 	}
 
+	/** Says who this side is, unless it has. */
+	greet(hello: Hello): void {
+		if (!this.greeted) {
+			this.greeted = true;
+			this.send(hello);
+		}
+	}
+
 	/** Sends a message with the others of this turn. */
 	send(message: Message): void {
 		if (this.over) {
@@ -90,9 +120,26 @@
 		}
 	}
 
-	/** Ends the link. */
-	close(why: LinkEnd = 'closed'): void {
-		this.end(why);
+	/** Ends the link, for a reason that its receiver is told. */
+	close(why: LinkEnd = 'closed', problem?: string): void {
+		this.end(why, problem);
+	}
+
+	/** Gives the link up where it has been silent for too long, and says that this side is alive where that is due. */
+	check(): void {
+		const now = this.clock.mono();
+		const isAtStake = this.receiver.isAtStake(this);
+		this.stakeSince = isAtStake ? this.stakeSince ?? now : undefined;
+		if (this.isSilent(now)) {
+			// What has arrived meanwhile is read first: this process may have been held up itself.
+			setImmediate(() => {
+				if (this.isSilent(this.clock.mono())) {
+					this.end('silent');
+				}
+			});
+		} else if (now - this.sentAt >= (isAtStake || now < this.neededUntil ? beatMs : idleBeatMs)) {
+			this.send({kind: 'beat', needed: isAtStake});
+		}
 	}
 
 	private flush(): void {
@@ -111,95 +158,174 @@
 		}
 	}
 
-	private check(): void {
-		const now = this.clock.mono();
-		if (now - this.heardAt > silenceMs) {
-			// What has arrived meanwhile is read first: this process may have been held up itself.
-			setImmediate(() => {
-				if (this.clock.mono() - this.heardAt > silenceMs) {
-					this.end('silent');
-				}
-			});
-		} else if (now - this.sentAt >= beatMs) {
-			this.send({kind: 'beat'});
-		}
+	/** The time at rest before something came to depend on the link does not count, since the other side said nothing then with reason. */
+	private isSilent(now: number): boolean {
+		return this.stakeSince === undefined ? now - this.heardAt > idleSilenceMs : now - Math.max(this.heardAt, this.stakeSince) > silenceMs;
 	}
 
 	private read(chunk: Uint8Array): void {
 		this.heardAt = this.clock.mono();
 		const lines = (this.rest + this.decoder.write(Buffer.from(chunk))).split('\n');
 		this.rest = lines.pop()!;
+		if (this.rest.length > lineLimit) {
+			this.end('malformed', `a line of over ${lineLimit} characters`);
+			return;
+		}
+
 		for (const line of lines) {
-			let messages: Message[];
-			try {
-				messages = JSON.parse(line) as Message[];
-			} catch {
-				this.end('malformed');
+			this.readLine(line);
+		}
+	}
+
+	private readLine(line: string): void {
+		let values: unknown;
+		try {
+			values = JSON.parse(line);
+		} catch (error) {
+			this.end('malformed', (error as Error).message);
+			return;
+		}
+
+		if (!Array.isArray(values)) {
+			this.end('malformed', 'expected a list of messages');
+			return;
+		}
+
+		for (const value of values) {
+			if (this.over) {
 				return;
 			}
 
-			for (const message of messages) {
-				if (!this.over) {
-					this.take(message);
+			const reading = readMessage(value);
+			switch (reading.kind) {
+				case 'message': {
+					this.take(reading.message);
+					break;
+				}
+
+				case 'unknown': {
+					this.unknown++;
+					break;
+				}
+
+				case 'malformed': {
+					this.end('malformed', reading.problem);
+					break;
 				}
 			}
 		}
 	}
 
 	private take(message: Message): void {
+		if (message.kind === 'beat') {
+			this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
+			return;
+		}
+
+		if ((message.kind === 'hello') !== (this.peer === undefined)) {
+			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
+			return;
+		}
+
 		if (message.kind === 'hello') {
 			this.peer = message;
 		}
 
-		if (message.kind !== 'beat') {
+		try {
 			this.receiver.receive(message, this);
+		} catch (error) {
+			// One message that cannot be handled costs its link, not the process.
+			this.end('failed', `${message.kind}: ${(error as Error).stack ?? String(error)}`);
 		}
 	}
 
-	private end(why: LinkEnd): void {
+	private end(why: LinkEnd, problem?: string): void {
 		if (this.over) {
 			return;
 		}
 
 		this.over = true;
-		clearInterval(this.timer);
 		this.socket.destroy();
-		this.receiver.ended(this, why);
+		this.onEnd(this);
+		this.receiver.ended(this, why, problem);
 	}
 }
 
-/** Opens a link to an address, host:port. Resolves to nothing when it cannot be reached in time. */
-export async function dial(address: string, clock: Clock, receiver: Receiver): Promise<Link | undefined> {
-	const [host, port] = splitAddress(address);
-	return new Promise(resolve => {
-		const socket = createConnection({host, port});
-		const timer = setTimeout(() => {
-			socket.destroy();
-			resolve(undefined);
-		}, connectMs);
-		socket.once('error', () => {
-			clearTimeout(timer);
-			resolve(undefined);
+/** Links are those of one process, with one timer for all of them. */
+export class Links {
+	static create(clock: Clock, receiver: Receiver): Links {
+		return new Links(clock, receiver);
+	}
+
+	private readonly open = new Set<Link>();
+	private readonly timer: NodeJS.Timeout;
+	private server?: Server;
+
+	private constructor(private readonly clock: Clock, private readonly receiver: Receiver) {
+		this.timer = setInterval(() => {
+			for (const link of this.open) {
+				link.check();
+			}
+		}, checkMs);
+	}
+
+	/** Opens a link to an address, host:port. Resolves to nothing when it cannot be reached in time. */
+	async dial(address: string): Promise<Link | undefined> {
+		const [host, port] = splitAddress(address);
+		return new Promise(resolve => {
+			const socket = createConnection({host, port});
+			const timer = setTimeout(() => {
+				socket.destroy();
+				resolve(undefined);
+			}, connectMs);
+			socket.once('error', () => {
+				clearTimeout(timer);
+				resolve(undefined);
+			});
+			socket.once('connect', () => {
+				clearTimeout(timer);
+				resolve(this.add(socket));
+			});
 		});
-		socket.once('connect', () => {
-			clearTimeout(timer);
-			resolve(Link.create(socket, clock, receiver));
+	}
+
+	/** Listens for links. Resolves to where it does, once it does. */
+	async listen(address: string): Promise<string> {
+		const [host, port] = splitAddress(address);
+		const server = createServer(socket => {
+			this.add(socket);
 		});
-	});
-}
+		this.server = server;
+		return new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen({host, port}, () => {
+				resolve(`${host}:${(server.address() as AddressInfo).port}`);
+			});
+		});
+	}
+
+	/** Ends all links, and takes none from now on. */
+	close(): void {
+		clearInterval(this.timer);
+		this.server?.close();
+		for (const link of this.open) {
+			link.close();
+		}
+	}
 
-/** Listens for links. Resolves once it does. */
-export async function listen(address: string, clock: Clock, receiver: Receiver): Promise<Server> {
-	const [host, port] = splitAddress(address);
-	const server = createServer(socket => {
-		Link.create(socket, clock, receiver);
-	});
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({host, port}, () => {
-			resolve(server);
+	private add(socket: Socket): Link {
+		const link = Link.create(socket, this.clock, this.receiver, ended => {
+			this.open.delete(ended);
 		});
-	});
+		this.open.add(link);
+		return link;
+	}
+}
+
+/** Says whether a text is an address that can be dialled, as host:port. */
+export function isAddress(text: string): boolean {
+	const [host, port] = splitAddress(text);
+	return /^[^\s:]+$/v.test(host) && /:\d+$/v.test(text) && port > 0 && port < 65_536;
 }
 
 /** Splits host:port. */
