Sidecars tell all entries of a worker that fails what it starts

Cause: each entry learned of a bad worker from its own runs alone: three failures and a trial a second each, times the number of entries, and a job fails when a task has failed as often as its route allows.

Ruled out: refusing at the sidecar: jobs that can never be done would take all workers out at once.

Change: the guard counts runs in a row that failed or hung, of whatever entry; the sidecar tells entries when these are three and when one succeeds again. Entries then treat the place as they do by their own failures, half of a pool always staying in use. A stop says whether the run hung.

--- a/bench/decide.ts
+++ b/bench/decide.ts
@@ -28,7 +28,7 @@
 		for (let place = 0; place < places; place++) {
 			schedule.step({
 				kind: 'told', place: `s${place}`, report: {
-					zone: 'z', pool: 'p', room: full, others: full,
+					zone: 'z', pool: 'p', room: full, others: full, isFailing: false,
 				},
 			}, 0);
 		}
--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -16,7 +16,7 @@
 type Kind = {route: string; perSecond: number; width: number; widest: number; meanMs: number; longestMs: number; attempts: number; priority: number; worth: number};
 
 /** Load is what is played: the kinds, the workers, and what goes wrong when. */
-type Load = {
+export type Load = {
 	kinds: readonly Kind[];
 	entries: number;
 	/** With how many entries each worker's sidecar has a link, where not with all. */
@@ -25,11 +25,15 @@
 	workers: ReadonlyArray<{speed: number; cpu: number}>;
 	taskCpu: number;
 	seconds: number;
+	/** Whether sidecars tell entries that all fails at their worker; they do unless it is false. */
+	tellsFailing?: boolean;
 	/** Traffic by the second, times the usual. */
 	traffic(second: number): number;
 	/** The workers that are gone, or slowed by a factor, by the second. */
 	gone(second: number): number;
 	slow(second: number): number;
+	/** The first workers, so many by the second, that fail all that they start. */
+	failing?(second: number): number;
 };
 
 /** The response time aimed at is this much more than `stretch` times the longest task, and up to three times that is late. */
@@ -62,7 +66,7 @@
 const workers = (count: number, cpu: number) => Array.from({length: count}, (_, index) => ({speed: speeds[index % 3]!, cpu: index % 3 === 2 ? cpu * 1.5 : cpu}));
 
 /** The loads that can be played. */
-const loads: Readonly<Record<string, Load>> = {
+export const loads: Readonly<Record<string, Load>> = {
 	calm: {
 		kinds: kinds(1), entries: 3, workers: workers(11, 64_000), taskCpu: 6200, traffic: () => 1, gone: () => 0, slow: () => 1, seconds: 20,
 	},
@@ -102,6 +106,9 @@
 	largeLoss: {
 		...large, kinds: largeKinds(1.2), traffic: () => 1, gone: second => second >= 3 && second < 8 ? 40 : 0, seconds: 12,
 	},
+	largeFailing: {
+		...large, kinds: largeKinds(1), traffic: () => 1, failing: second => second >= 2 && second < 8 ? 13 : 0, seconds: 10,
+	},
 	largeFlood: {
 		...large, kinds: largeKinds(1.9), traffic: () => 1, seconds: 8,
 	},
@@ -125,6 +132,8 @@
 	/** Starts refused by guards. */
 	refusals = 0;
 	starts = 0;
+	/** Runs that failed. */
+	failures = 0;
 	/** The entries with a link, by worker. */
 	readonly linked: ReadonlyArray<readonly number[]>;
 	/** How often a worker was asked for room. */
@@ -262,7 +271,9 @@
 
 			case 'stop': {
 				this.at(wayMs, () => {
-					this.guard(Number(action.place), {kind: 'cancel', owner: String(entry), ref: action.ref});
+					this.guard(Number(action.place), {
+						kind: 'cancel', owner: String(entry), ref: action.ref, hung: action.hung,
+					});
 				});
 				break;
 			}
@@ -287,9 +298,19 @@
 	}
 
 	private guard(index: number, event: Parameters<Guard['step']>[0]): void {
-		for (const action of this.guards[index]!.step(event, this.now)) {
+		const guard = this.guards[index]!;
+		const wasFailing = guard.isFailing;
+		for (const action of guard.step(event, this.now)) {
 			this.act(index, action);
 		}
+
+		if (guard.isFailing !== wasFailing) {
+			this.at(wayMs, () => {
+				for (const entry of this.linked[index]!) {
+					this.report(index, entry);
+				}
+			});
+		}
 	}
 
 	private act(index: number, action: GuardAction): void {
@@ -339,7 +360,9 @@
 		const second = this.now / 1000;
 		const slowed = index === 1 ? this.load.slow(second) : 1;
 		const ms = (draw?.workMs[Number(task)] ?? 1) / this.load.workers[index]!.speed * slowed;
+		const ending = index < (this.load.failing?.(second) ?? 0) ? 'failed' : 'done';
 		this.starts++;
+		this.failures += Number(ending === 'failed');
 		if (this.now < this.load.seconds * 1000) {
 			this.busy += ms * ask.room.cpu;
 		}
@@ -352,13 +375,13 @@
 			this.at(ms, () => {
 				if (this.running[index]!.get(run.task)?.number === run.number) {
 					this.running[index]!.delete(run.task);
-					this.look(index, [{...run, sequence: ++this.sequence, ending: 'done'}]);
+					this.look(index, [{...run, sequence: ++this.sequence, ending}]);
 				}
 			});
 		});
 	}
 
-	private look(index: number, ended: Array<{task: string; number: number; sequence: number; ending: 'done'}>): void {
+	private look(index: number, ended: Array<{task: string; number: number; sequence: number; ending: 'done' | 'failed'}>): void {
 		const running = [...this.running[index]!.values()].map(({task, number}) => ({task, number}));
 		this.guard(index, {
 			kind: 'looked',
@@ -385,21 +408,9 @@
 	}
 
 	private tell(index: number, round = 0): void {
-		const isGone = index < this.load.gone(this.now / 1000);
 		for (const entry of this.linked[index]!) {
-			const isDue = round % (tellIdleMs / tellMs) === 0 || this.guards[index]!.isAtStake(String(entry));
-			if (isDue) {
-				this.step(entry, {
-					kind: 'told',
-					place: String(index),
-					report: {
-						zone: `z${index % 3}`,
-						pool: 'p',
-						room: {cpu: this.load.workers[index]!.cpu, memoryMb: 1e9, accelerators: 0},
-						others: this.others(index, entry),
-						hindrance: isGone ? 'absent' : undefined,
-					},
-				});
+			if (round % (tellIdleMs / tellMs) === 0 || this.guards[index]!.isAtStake(String(entry))) {
+				this.report(index, entry);
 			}
 		}
 
@@ -408,6 +419,21 @@
 		});
 	}
 
+	private report(index: number, entry: number): void {
+		this.step(entry, {
+			kind: 'told',
+			place: String(index),
+			report: {
+				zone: `z${index % 3}`,
+				pool: 'p',
+				room: {cpu: this.load.workers[index]!.cpu, memoryMb: 1e9, accelerators: 0},
+				others: this.others(index, entry),
+				isFailing: this.load.tellsFailing !== false && this.guards[index]!.isFailing,
+				hindrance: index < this.load.gone(this.now / 1000) ? 'absent' : undefined,
+			},
+		});
+	}
+
 	private count({kind, objective, worth, at}: Draw, verdict: Verdict): void {
 		const tally = this.tallies.get(kind.route)!;
 		const took = this.now - at + (2 * wayMs);
--- a/src/decide/eject.ts
+++ b/src/decide/eject.ts
@@ -11,7 +11,7 @@
 };
 
 /** Failures in a row that eject a place. */
-const failureLimit = 3;
+export const failureLimit = 3;
 const firstEjectMs = 1000;
 const longestEjectMs = 30_000;
 
@@ -52,3 +52,15 @@
 		failures, until: now + health.nextMs, nextMs: Math.min(longestEjectMs, health.nextMs * 2), probing: false,
 	};
 }
+
+/**
+ * Returns the health after a place told that what runs there for all entries fails, or no longer does. Answers
+ * workers that fail all they start, at tens of entries of which each would spend its own failures and trials on them.
+ */
+export function hear(health: Health, isFailing: boolean, now: number, mayEject: boolean): Health {
+	if (!isFailing) {
+		return observe(health, true, now, mayEject);
+	}
+
+	return health.until === 0 ? observe({...health, failures: failureLimit - 1}, false, now, mayEject) : health;
+}
--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -1,6 +1,7 @@
 import type {
 	End, Look, Refusal, Reply, Run,
 } from '../ports/executor.js';
+import {failureLimit} from './eject.js';
 import {add, within, type Room} from './room.js';
 
 /** Ask is an entry's request to run a task. `ref` is its name at that entry. */
@@ -34,7 +35,8 @@
 /** Event is what a guard learns. `ownerLost`, `want` and `cancel` come from entries, the rest from the worker. */
 export type Event
 	= | {kind: 'ask'; ask: Ask; clock: number}
-		| {kind: 'cancel'; owner: string; ref: number}
+	/** `hung`: the owner takes the run to stand still. */
+		| {kind: 'cancel'; owner: string; ref: number; hung: boolean}
 		| {kind: 'ownerLost'; owner: string}
 	/** The owner has a task of this size that waits for room and should begin within `dueMs`. Holds until it is offered room. */
 		| {kind: 'want'; owner: string; room: Room; dueMs: number}
@@ -128,6 +130,8 @@
 	private gone = false;
 	/** Looks without an answer in a row. */
 	private silent = 0;
+	/** Runs in a row, of whatever owner, that failed or hung. */
+	private failures = 0;
 
 	/** Says whether anything may run that needs its lease renewed or its end collected. */
 	get busy(): boolean {
@@ -144,6 +148,11 @@
 		return this.held.size;
 	}
 
+	/** Says whether all that ended lately failed. Tasks may be to blame, so it hinders nothing here: entries see other places too. */
+	get isFailing(): boolean {
+		return this.failures >= failureLimit;
+	}
+
 	/** Why nothing may start at present, if so. */
 	get hindrance(): Hindrance | undefined {
 		if (this.stopping) {
@@ -210,6 +219,7 @@
 			case 'cancel': {
 				const held = [...this.held.values()].find(({ask}) => ask.owner === event.owner && ask.ref === event.ref);
 				if (held) {
+					this.failures += Number(event.hung);
 					this.halt(held, actions);
 				}
 
@@ -365,6 +375,7 @@
 	/** A worker that has started anew counts its ends from 1, and runs at most what an earlier life of this process started there. */
 	private newLife(now: number, actions: Action[]): void {
 		this.seen = 0;
+		this.failures = 0;
 		this.forget(now, actions);
 		this.inherited = true;
 	}
@@ -538,6 +549,10 @@
 		}
 
 		const outcome = end.ending === 'done' || end.ending === 'failed' ? end.ending : 'lost';
+		if (outcome !== 'lost') {
+			this.failures = outcome === 'done' ? 0 : this.failures + 1;
+		}
+
 		this.settle(held, outcome, now, actions);
 	}
 
--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -1,5 +1,5 @@
 import {
-	healthy, observe, probe, standingOf, type Health,
+	healthy, hear, observe, probe, standingOf, type Health,
 } from './eject.js';
 import {Estimate} from './estimate.js';
 import type {Hindrance, Outcome} from './guard.js';
@@ -34,6 +34,8 @@
 	pool: string;
 	room: Room;
 	others: Room;
+	/** Whether all that ended there lately failed, whichever entry's it was. */
+	isFailing: boolean;
 	hindrance?: Hindrance;
 };
 
@@ -79,7 +81,8 @@
 /** Action is what a schedule wants done. */
 export type Action
 	= | Start
-		| {kind: 'stop'; place: string; ref: number}
+	/** `hung`: it should have ended long ago. */
+		| {kind: 'stop'; place: string; ref: number; hung: boolean}
 	/** Something waits for room of this size and should begin within `dueMs`; the place is to offer some when it has it. */
 		| {kind: 'want'; place: string; room: Room; dueMs: number}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
@@ -310,7 +313,7 @@
 
 			case 'told': {
 				this.foundAt = Math.min(this.foundAt, now);
-				this.told(event.place, event.report);
+				this.told(event.place, event.report, now);
 				this.fill(event.place, now, actions);
 				break;
 			}
@@ -476,16 +479,17 @@
 		return Math.min(retryMostMs, retryLeastMs + (this.pending() * 50));
 	}
 
-	private told(id: string, report: PlaceReport): void {
-		const place = this.places.get(id);
-		if (place) {
-			Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
-			return;
+	private told(id: string, report: PlaceReport, now: number): void {
+		const known = this.places.get(id);
+		const place = known ?? {
+			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, health: healthy, notBefore: 0, wanted: false, isFailing: false,
+		};
+		this.places.set(id, place);
+		if (report.isFailing !== place.isFailing) {
+			place.health = hear(place.health, report.isFailing, now, this.mayEject(place));
 		}
 
-		this.places.set(id, {
-			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, health: healthy, notBefore: 0, wanted: false,
-		});
+		Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
 	}
 
 	private down(id: string, now: number): void {
@@ -668,7 +672,9 @@
 				place.health = observe(place.health, false, now, this.mayEject(place));
 			}
 
-			actions.push({kind: 'stop', place: task.place, ref: task.ref});
+			actions.push({
+				kind: 'stop', place: task.place, ref: task.ref, hung: true,
+			});
 		}
 	}
 
@@ -939,7 +945,9 @@
 					ref, place, until: Number.POSITIVE_INFINITY, lost: false,
 				});
 				if (!task.stopped) {
-					actions.push({kind: 'stop', place, ref});
+					actions.push({
+						kind: 'stop', place, ref, hung: false,
+					});
 				}
 			} else if (state === 'limbo') {
 				this.fading.set(task.spec.name, {
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -435,7 +435,7 @@
 
 			case 'stop': {
 				this.meters.orders.inc({kind: 'stop'});
-				this.sidecars.get(action.place)?.link.send({kind: 'stop', ref: action.ref});
+				this.sidecars.get(action.place)?.link.send({kind: 'stop', ref: action.ref, hung: action.hung});
 				break;
 			}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -269,7 +269,9 @@
 			}
 
 			case 'stop': {
-				this.apply({kind: 'cancel', owner: ownerOf(link), ref: message.ref});
+				this.apply({
+					kind: 'cancel', owner: ownerOf(link), ref: message.ref, hung: message.hung,
+				});
 				break;
 			}
 
@@ -305,6 +307,7 @@
 
 	private apply(event: Event): void {
 		const before = this.guard.hindrance;
+		const wasFailing = this.guard.isFailing;
 		for (const action of this.guard.step(event, this.clock.mono())) {
 			this.carryOut(action);
 		}
@@ -313,6 +316,9 @@
 		if (after !== before) {
 			this.log.info({event: 'hindrance', before, after}, 'what keeps the worker from work has changed');
 			this.tellAll();
+		} else if (this.guard.isFailing !== wasFailing) {
+			this.log.info({event: 'failing', isFailing: this.guard.isFailing}, wasFailing ? 'a run has succeeded again' : 'all runs fail lately');
+			this.tellAll();
 		}
 
 		if (this.guard.busy) {
@@ -517,6 +523,7 @@
 				pool: worker?.pool ?? '',
 				room: worker?.room ?? {cpu: 0, memoryMb: 0, accelerators: 0},
 				others: this.guard.takenFrom(ownerOf(link), this.clock.mono()),
+				isFailing: this.guard.isFailing,
 				hindrance: this.guard.hindrance ?? (this.releasing.has(link) ? 'withdrawn' : undefined),
 			},
 			stamp: this.workerClock(),
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -24,7 +24,7 @@
 	z.object({
 		kind: z.literal('place'),
 		report: z.object({
-			zone: z.string(), pool: z.string(), room, others: room, hindrance: hindrance.optional(),
+			zone: z.string(), pool: z.string(), room, others: room, isFailing: z.boolean(), hindrance: hindrance.optional(),
 		}),
 		stamp,
 		clear: z.boolean(),
@@ -46,7 +46,8 @@
 	z.object({
 		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string(), stamp, age: z.number(),
 	}),
-	z.object({kind: z.literal('stop'), ref}),
+	/** `hung`: it should have ended long ago. */
+	z.object({kind: z.literal('stop'), ref, hung: z.boolean()}),
 	/** A task of this size waits for room and should begin within `dueMs`. */
 	z.object({kind: z.literal('want'), room, dueMs: z.number()}),
 	z.object({kind: z.literal('zones'), asOf: z.number(), out: z.array(z.string()).readonly()}),
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -27,7 +27,10 @@
 const started = (reply: Reply = done, number = 1): Event => ({kind: 'started', run: run(number), reply});
 const stopped = (reply: Reply = done): Event => ({kind: 'stopped', run: run(), reply});
 const unknown: Reply = {kind: 'unknown', cause: 'timeout', absent: false};
-const cancel: Event = {kind: 'cancel', owner: 'e1', ref: 1};
+const cancelled = (hung: boolean): Event => ({
+	kind: 'cancel', owner: 'e1', ref: 1, hung,
+});
+const cancel = cancelled(false);
 const ownerLost: Event = {kind: 'ownerLost', owner: 'e1'};
 const want = (owner: string, cpu = 4, dueMs = 0): Event => ({
 	kind: 'want', owner, room: room(cpu), dueMs,
@@ -105,6 +108,31 @@
 	});
 }
 
+/** A run of some owner that begins and ends somehow. */
+const round = (number: number, ending: End['ending']): Event[] => [
+	asked({owner: `e${number}`, ref: number}), started(done, number), looked({ended: [end({sequence: number, number, ending})]}),
+];
+
+for (const [title, events, isFailing] of [
+	['two failures', [...round(1, 'failed'), ...round(2, 'failed')], false],
+	['three failures of three entries', [...round(1, 'failed'), ...round(2, 'failed'), ...round(3, 'failed')], true],
+	['a success after them', [...round(1, 'failed'), ...round(2, 'failed'), ...round(3, 'failed'), ...round(4, 'done')], false],
+	['a success between them', [...round(1, 'failed'), ...round(2, 'failed'), ...round(3, 'done'), ...round(4, 'failed')], false],
+	['runs that were stopped', [...round(1, 'stopped'), ...round(2, 'stopped'), ...round(3, 'stopped')], false],
+	['two failures and a run that hangs', [...round(1, 'failed'), ...round(2, 'failed'), asked(), cancelled(true)], true],
+	['two failures and a run that is given up', [...round(1, 'failed'), ...round(2, 'failed'), asked(), cancel], false],
+	['a new life after three failures', [...round(1, 'failed'), ...round(2, 'failed'), ...round(3, 'failed'), {kind: 'reported', worker: worker({life: 'w2', born: 2})}], false],
+] as Array<[string, Event[], boolean]>) {
+	test(`guard: a worker counts as ${isFailing ? '' : 'not '}failing after ${title}`, t => {
+		const guard = Guard.create();
+		for (const event of [...ready, ...events]) {
+			guard.step(event, 0);
+		}
+
+		t.is(guard.isFailing, isFailing);
+	});
+}
+
 test('guard: offered room is kept for a while only', t => {
 	const guard = Guard.create();
 	for (const event of [...ready, want('e2', 7)]) {
@@ -214,7 +242,9 @@
 			case 'cancel': {
 				const ref = this.refs - one.back;
 				for (const owner of ['e0', 'e1']) {
-					this.step({kind: 'cancel', owner, ref});
+					this.step({
+						kind: 'cancel', hung: false, owner, ref,
+					});
 				}
 
 				break;
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -28,7 +28,7 @@
 	},
 	{
 		kind: 'place', report: {
-			zone: 'z', pool: 'p', room, others: room, hindrance: 'draining',
+			zone: 'z', pool: 'p', room, others: room, isFailing: false, hindrance: 'draining',
 		}, stamp: 1, clear: true,
 	},
 	{
@@ -42,7 +42,7 @@
 	{
 		kind: 'start', ref: 1, task: 't', room, spec: '', stamp: 1, age: 1,
 	},
-	{kind: 'stop', ref: 1},
+	{kind: 'stop', ref: 1, hung: false},
 	{kind: 'want', room, dueMs: 5},
 	{kind: 'zones', asOf: 1, out: ['z']},
 	{kind: 'entries', addresses: ['127.0.0.1:1']},
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -20,7 +20,7 @@
 	...fields,
 });
 const place = (fields: Partial<PlaceReport> = {}): PlaceReport => ({
-	zone: 'z1', pool: 'p', room: {cpu: 10, memoryMb: 100, accelerators: 0}, others: room(0), ...fields,
+	zone: 'z1', pool: 'p', room: {cpu: 10, memoryMb: 100, accelerators: 0}, others: room(0), isFailing: false, ...fields,
 });
 const told = (id = 'a', fields: Partial<PlaceReport> = {}): Event => ({kind: 'told', place: id, report: place(fields)});
 const submit = (fields: Partial<Job> = {}, tasks = 1): Event => ({kind: 'submit', job: job(fields, tasks)});
@@ -77,6 +77,9 @@
 	['a task is placed where it alone fits beside what others run', [[0, told('a', {others: room(7)})], [0, told('b')], [0, submit()]], ['start j.0 at b as 1']],
 	['nothing is placed in a zone that is out', [[0, told()], [0, told('b', {zone: 'z2'})], [0, {kind: 'zones', out: new Set(['z1'])}], [0, submit()]], ['start j.0 at b as 1']],
 	['nothing is placed where something hinders', [[0, told('a', {hindrance: 'draining'})], [0, told('b')], [0, submit()]], ['start j.0 at b as 1']],
+	['nothing is placed where all fails, whoever saw it', [[0, told('a', {isFailing: true})], [0, told('b', {others: room(5)})], [0, told('c', {others: room(5)})], [0, submit()]], ['start j.0 at b as 1']],
+	['what fails everywhere keeps half of the places in use', [[0, told('a', {isFailing: true})], [0, told('b', {isFailing: true})], [0, told('c', {isFailing: true, others: room(5)})], [0, submit()]], ['start j.0 at c as 1']],
+	['a place where something succeeded again gets work', [[0, told('a', {isFailing: true})], [0, told('b', {others: room(5)})], [0, told('c', {others: room(5)})], [1, told('a')], [2, submit()]], ['start j.0 at a as 1']],
 	['a job is complete with its last task', [[0, told()], [0, submit({}, 2)], [9, ended('done')], [9, ended('done', 2)]], ['answer j completed']],
 	['a failed task is tried again elsewhere', [[0, told()], [0, told('b')], [0, submit()], [9, ended('failed')]], ['start j.0 at b as 2']],
 	['a job fails when a task has failed as often as it may', [[0, told()], [0, submit()], [9, ended('failed')], [9, ended('failed', 2)]], ['answer j failed']],
