--- a/src/decide/schedule.ts
+++ b/src/decide/schedule.ts
@@ -1,5 +1,5 @@
 import {
-	healthy, observe, probe, standingOf, type Health,
+	healthy, hear, observe, probe, standingOf, type Health,
 } from './eject.js';
 import {Estimate} from './estimate.js';
 import type {Hindrance, Outcome} from './guard.js';
@@ -34,6 +34,8 @@
 	pool: string;
 	room: Room;
 	others: Room;
+	/** Whether all that ended there lately failed, whichever entry's it was. */
+	isFailing: boolean;
 	hindrance?: Hindrance;
 };
 
@@ -79,7 +81,8 @@
 /** Action is what a schedule wants done. */
 export type Action
 	= | Start
-		| {kind: 'stop'; place: string; ref: number}
+	/** `hung`: it should have ended long ago. */
+		| {kind: 'stop'; place: string; ref: number; hung: boolean}
 	/** Something waits for room of this size and should begin within `dueMs`; the place is to offer some when it has it. */
 		| {kind: 'want'; place: string; room: Room; dueMs: number}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
@@ -109,6 +112,8 @@
 const wantMost = 16;
 /** How long a task waits whose name still runs for somebody else, in milliseconds. */
 const duplicateMs = 120;
+/** How long a place without a link is remembered, in milliseconds: machines come and go for years. */
+const placeKeptMs = 600_000;
 /** How long a job of which something may have run is remembered after its end, in milliseconds: callers submit again after 1300, and for as long as they wait. */
 const begunKeptMs = 30_000;
 /** Bounds of the time after which a refused caller is told to come back, in milliseconds. */
@@ -182,6 +187,8 @@
 	mine: Room;
 	/** Orders that are not settled. */
 	sent: number;
+	/** When its link was lost last. */
+	downAt: number;
 	health: Health;
 	notBefore: number;
 	/** Whether it was told that something waits for its room, and has not offered any since. */
@@ -212,13 +219,15 @@
 	}
 
 	/** What has been learned of times. */
-	estimate = Estimate.create();
+	readonly estimate = Estimate.create();
 
 	private readonly jobs = new Map<string, Live>();
 	private readonly places = new Map<string, Place>();
 	private readonly sent = new Map<number, Sent>();
 	/** Names of tasks whose jobs have ended and that may still run, so that a job submitted again starts none of them twice. */
 	private readonly fading = new Map<string, Fading>();
+	/** Places that went down since they last said that all before is over. */
+	private readonly lost = new Set<string>();
 	/** Jobs that ended after something of them may have run, and until when that is remembered: the oldest first. */
 	private readonly begun = new Map<string, number>();
 	/** What waits for room since the last look at all places, by pool. */
@@ -310,7 +319,7 @@
 
 			case 'told': {
 				this.foundAt = Math.min(this.foundAt, now);
-				this.told(event.place, event.report);
+				this.told(event.place, event.report, now);
 				this.fill(event.place, now, actions);
 				break;
 			}
@@ -476,25 +485,30 @@
 		return Math.min(retryMostMs, retryLeastMs + (this.pending() * 50));
 	}
 
-	private told(id: string, report: PlaceReport): void {
-		const place = this.places.get(id);
-		if (place) {
-			Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
-			return;
+	private told(id: string, report: PlaceReport, now: number): void {
+		const known = this.places.get(id);
+		const place = known ?? {
+			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, downAt: now, health: healthy, notBefore: 0, wanted: false, isFailing: false,
+		};
+		this.places.set(id, place);
+		if (report.isFailing !== place.isFailing) {
+			place.health = hear(place.health, report.isFailing, now, this.mayEject(place));
 		}
 
-		this.places.set(id, {
-			...report, id, linked: true, mine: {cpu: 0, memoryMb: 0, accelerators: 0}, sent: 0, health: healthy, notBefore: 0, wanted: false,
-		});
+		Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
 	}
 
 	private down(id: string, now: number): void {
+		this.lost.add(id);
 		const place = this.places.get(id);
 		if (place) {
 			place.linked = false;
 			place.wanted = false;
+			place.downAt = now;
 		}
 
+		this.forgetPlaces(now);
+
 		for (const fading of this.fading.values()) {
 			if (fading.place === id && !fading.lost) {
 				fading.lost = true;
@@ -517,8 +531,24 @@
 		}
 	}
 
+	private forgetPlaces(now: number): void {
+		for (const {id, linked, sent, downAt} of this.places.values()) {
+			if (!linked && sent === 0 && now - downAt > placeKeptMs) {
+				this.places.delete(id);
+				this.lost.delete(id);
+			}
+		}
+
+		this.estimate.prune(place => this.places.has(place));
+	}
+
 	/** Takes back all tasks that were sent to the place and whose fate was unknown. */
 	private clear(id: string, now: number, actions: Action[]): void {
+		// Said with each message of a place, so it must cost nothing where nothing was lost.
+		if (!this.lost.delete(id)) {
+			return;
+		}
+
 		for (const [name, {place, lost}] of this.fading) {
 			if (place === id && lost) {
 				this.fading.delete(name);
@@ -568,7 +598,7 @@
 		}
 
 		if (outcome === 'done') {
-			this.estimate = this.estimate.observe({
+			this.estimate.observe({
 				route, place: id, ranMs, declaredMs: Math.max(1, task.spec.estimateMs),
 			});
 		}
@@ -668,7 +698,9 @@
 				place.health = observe(place.health, false, now, this.mayEject(place));
 			}
 
-			actions.push({kind: 'stop', place: task.place, ref: task.ref});
+			actions.push({
+				kind: 'stop', place: task.place, ref: task.ref, hung: true,
+			});
 		}
 	}
 
@@ -939,7 +971,9 @@
 					ref, place, until: Number.POSITIVE_INFINITY, lost: false,
 				});
 				if (!task.stopped) {
-					actions.push({kind: 'stop', place, ref});
+					actions.push({
+						kind: 'stop', place, ref, hung: false,
+					});
 				}
 			} else if (state === 'limbo') {
 				this.fading.set(task.spec.name, {
