--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -210,7 +210,7 @@
 		this.meters.linksLost.inc({why});
 		this.meters.malformed.inc({from: peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
 		this.log.warn({
-			event: 'link-lost', node: peer?.node, role: peer?.role, remote: link.remote, why, problem, tasks: peer && this.schedule.tasksAt(peer.node),
+			event: 'link-lost', node: peer?.node, role: peer?.role, remote: link.remote, why, problem, unknown: link.unknown, tasks: peer && this.schedule.tasksAt(peer.node),
 		}, 'link lost');
 		if (!peer) {
 			return;
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -209,7 +209,7 @@
 		this.meters.linksLost.inc({why});
 		this.meters.malformed.inc({from: link.peer?.role ?? 'stranger'}, why === 'malformed' ? 1 : 0);
 		this.log.warn({
-			event: 'entry-lost', entry: link.peer?.node, remote: link.remote, why, problem, tasks: link.peer && this.guard.tasksOf(ownerOf(link)),
+			event: 'entry-lost', entry: link.peer?.node, remote: link.remote, why, problem, unknown: link.unknown, tasks: link.peer && this.guard.tasksOf(ownerOf(link)),
 		}, 'link to an entry lost; its runs are stopped');
 		if (link.peer && this.owners.get(ownerOf(link)) === link) {
 			this.owners.delete(ownerOf(link));
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -15,8 +15,6 @@
 const idleSilenceMs = 2600;
 /** How often all links are looked at, in milliseconds. */
 const checkMs = 100;
-/** By how much later than `silenceMs` a link that something depends on may be given up, in milliseconds. */
-export const givenUpMs = silenceMs + checkMs;
 /** How long a new connection may take, in milliseconds. */
 const connectMs = 500;
 /** What may wait to be sent before a link counts as stuck, in bytes. */
