Tests of silent links and of two lives of a sidecar at once

Change: eight cases of links that are silent both ways, one way or cut, with the caller waiting or sending the job again elsewhere, one of a worker that is silent for less than its lease, one of two lives of a sidecar. A witness beside the workers sees each start.

--- /dev/null
+++ b/test/ephemeral-scene.ts
@@ -0,0 +1,130 @@
+import type {ExecutionContext} from 'ava';
+import {pino} from 'pino';
+import {systemClock} from '../src/adapters/clock.js';
+import type {Job, Verdict} from '../src/decide/schedule.js';
+import {Dispatcher} from '../src/ephemeral/dispatcher.js';
+import {Driver} from '../src/ephemeral/driver.js';
+import {DispatchMeters, DriverMeters} from '../src/ephemeral/meters.js';
+import type {Executor} from '../src/ports/executor.js';
+import {ModelWorker, type Work} from './worker.js';
+
+export const leaseMs = 1000;
+export const room = {cpu: 10, memoryMb: 100, accelerators: 0};
+export const quiet = pino({level: 'silent'});
+/** How often a condition is looked at while a test waits for it, in milliseconds. */
+const pollMs = 10;
+
+/** ModelExecutor is a model worker as an executor, in real time or slower by a rate: time passes at each call. */
+export type ModelExecutor = Executor & {
+	/** Whether calls are lost before they reach the worker. */
+	silent: boolean;
+	/** Lets the time that has passed since pass at the worker. */
+	advance(): void;
+};
+
+/** Makes an executor of a model worker. */
+export function executorOf(worker: ModelWorker, work: Work, rate = 1): ModelExecutor {
+	let at = systemClock.mono();
+	const advance = (): void => {
+		const now = systemClock.mono();
+		const passed = Math.floor((now - at) * rate);
+		worker.advance(passed);
+		at += passed / rate;
+	};
+
+	const lost = {kind: 'unknown', cause: 'silent', absent: false} as const;
+	const executor: ModelExecutor = {
+		silent: false,
+		advance,
+		async start(order) {
+			advance();
+			return executor.silent ? lost : worker.start(order, work);
+		},
+		async stop(run, fence) {
+			advance();
+			return executor.silent ? lost : worker.stop(run, fence);
+		},
+		async renew(renewal) {
+			await systemClock.sleep(Math.min(renewal.waitMs, pollMs));
+			advance();
+			return executor.silent ? lost : worker.renew(renewal);
+		},
+		async close() {
+			executor.silent = true;
+		},
+	};
+	return executor;
+}
+
+export type Drive = {seeds: readonly string[]; executor: Executor; meters?: DriverMeters};
+
+/** Starts a sidecar whose worker has reported itself; it ends with the test. */
+export function drive(t: ExecutionContext, node: string, {seeds, executor, meters = DriverMeters.create()}: Drive): Driver {
+	const driver = Driver.create({
+		node, life: `${node}-1`, zone: 'z', seeds, leaseMs,
+	}, {
+		clock: systemClock, executor, log: quiet, meters,
+	});
+	t.teardown(async () => driver.stop(0));
+	driver.reported({
+		life: `w-${node}`, born: 1, pool: 'p', room, labels: [], draining: false,
+	}, 0);
+	return driver;
+}
+
+export type Scene = {entries: Dispatcher[]; entryMeters: DispatchMeters[]; drivers: Driver[]; driverMeters: DriverMeters[]; workers: ModelWorker[]; executors: ModelExecutor[]};
+
+/** Starts entries that know the first of them, and sidecars that know it too, each with a worker. */
+export async function start(t: ExecutionContext, entries: number, sidecars: number, tookMs = 50): Promise<Scene> {
+	const scene: Scene = {
+		entries: [], entryMeters: [], drivers: [], driverMeters: [], workers: [], executors: [],
+	};
+	for (let index = 0; index < entries; index++) {
+		const meters = DispatchMeters.create();
+		scene.entryMeters.push(meters);
+		scene.entries.push(await Dispatcher.create({
+			node: `e${index}`, life: `e${index}-1`, address: '127.0.0.1:0', seeds: scene.entries.slice(0, 1).map(({address}) => address),
+		}, systemClock, quiet, meters));
+	}
+
+	for (let index = 0; index < sidecars; index++) {
+		const worker = ModelWorker.create(room, leaseMs);
+		const executor = executorOf(worker, {room: {...room, cpu: 4}, tookMs, ending: 'done'});
+		const meters = DriverMeters.create();
+		scene.driverMeters.push(meters);
+		scene.workers.push(worker);
+		scene.executors.push(executor);
+		scene.drivers.push(drive(t, `s${index}`, {seeds: [scene.entries[0]!.address], executor, meters}));
+	}
+
+	t.teardown(() => {
+		for (const entry of scene.entries) {
+			entry.close();
+		}
+	});
+	return scene;
+}
+
+/** Resolves when a condition holds. */
+export async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await systemClock.sleep(pollMs);
+	}
+}
+
+export const job = (id: string, tasks = 2, estimateMs = 50): Job => ({
+	id,
+	route: 'r',
+	pool: 'p',
+	spec: 'text',
+	tasks: Array.from({length: tasks}, (_, index) => ({name: `${id}.${index}`, room: {cpu: 4, memoryMb: 1, accelerators: 0}, estimateMs})),
+	aimMs: 5000,
+	stretch: 1,
+	attempts: 2,
+	priority: 0,
+	leftMs: 20_000,
+});
+
+export const submit = async (entry: Dispatcher, one: Job): Promise<Verdict> => new Promise(resolve => {
+	entry.submit(one, resolve);
+});
