--- a/test/book.test.ts
+++ b/test/book.test.ts
@@ -3,6 +3,7 @@
 import {rank} from '../src/decide/rendezvous.js';
 import {Book} from '../src/ephemeral/book.js';
 import {Links, type Link, type Receiver} from '../src/ephemeral/link.js';
+import {until} from './ephemeral-scene.js';
 
 const receiver: Receiver = {
 	receive: () => undefined,
@@ -58,12 +59,6 @@
 	return {book, beyond: () => rest};
 }
 
-async function until(condition: () => boolean): Promise<void> {
-	while (!condition()) {
-		await systemClock.sleep(redialMs / 4);
-	}
-}
-
 test('book: links go to the first of the order, and to no others', async t => {
 	const listeners = await listen(t, 6);
 	const addresses = [...listeners.keys()];
