Store: an answer of the desired state may take as long as its bytes keep arriving

Cause: every call to the store had to be complete within 900 ms (a feed 1600 ms). A desired state of thousands of routes takes seconds on a link of 2 Mbit/s, so each read ended and began anew, for as long as the state was the newest; a starting entry never had a desired state. Change: a read of the store is limited by silence: the answer has to begin within 900 ms (1600 for a feed), and bytes have to arrive at least every 900 ms. While such an answer arrives, the entry asks no other entry for a second copy, which would share the link.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -58,6 +58,9 @@
 	/** Called with a newer desired state received from another entry. */
 	onDesiredState?: (asOf: number, text: string) => void;
 
+	/** Returns whether an answer of the store is arriving, which may hold a newer desired state. */
+	isStoreAnswering?: () => boolean;
+
 	private readonly links: Links;
 	private readonly sidecars = new Map<string, Sidecar>();
 	/** Links to other entries, with the version of the desired state that each holds. */
@@ -262,6 +265,12 @@
 		const pauseMs = fetchMs * Math.min(maxFetchPauseFactor, 2 ** Math.max(0, this.fetches - 2));
 		this.fetchTimer = setTimeout(() => {
 			this.fetchTimer = undefined;
+			if (this.isStoreAnswering?.()) {
+				// A second copy of the state would share the link's bandwidth with the first and delay both.
+				this.catchUp();
+				return;
+			}
+
 			const link = ahead.filter(({isOpen}) => isOpen)[this.fetches++ % ahead.length];
 			if (link && this.entries.get(link)! > this.desired.asOf) {
 				this.log.info({
@@ -271,7 +280,7 @@
 			}
 
 			this.catchUp();
-		}, knowsNone ? 0 : pauseMs);
+		}, knowsNone && !this.isStoreAnswering?.() ? 0 : pauseMs);
 	}
 
 	private removeWaiter(job: string, answer: Waiter): void {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -268,6 +268,59 @@
 	t.deepEqual(asked.slice(0, 4), ['3', '4', '4', '5']);
 });
 
+test('platform: an answer that takes longer than the store\'s time to begin one is read once, while one that stands still is given up', async t => {
+	const text = JSON.stringify({ver: 4, rows: [rowOf('c', 4, 'x'.repeat(10_000))]});
+	const parts = 14;
+	let feeds = 0;
+	let stalled = 0;
+	let deliver: (() => void) | undefined;
+	const address = await serve(t, (_request, url, response) => {
+		if (url.pathname === '/sniperidge/rows-get') {
+			if (stalled === 0) {
+				// The first list stands still after its beginning, and must be asked for again.
+				stalled++;
+				response.write('{');
+				return;
+			}
+
+			response.end(JSON.stringify({ver: 3, rows: [], more_pages: false}));
+			return;
+		}
+
+		feeds++;
+		if (url.searchParams.get('after') !== '3') {
+			return;
+		}
+
+		const size = Math.ceil(text.length / parts);
+		let sent = 0;
+		deliver = () => {
+			response.write(text.slice(sent * size, (sent + 1) * size));
+			sent++;
+			if (sent < parts) {
+				setTimeout(deliver!, 150);
+			} else {
+				response.end();
+			}
+		};
+
+		deliver();
+	});
+	const store = Store.create(address, systemClock, quiet, DispatcherMetrics.create());
+	let received = false;
+	const seen = new Promise<number>(resolve => {
+		void store.follow('op', ({rows}) => {
+			received = store.isReceiving;
+			if (rows.size > 0) {
+				resolve(feeds);
+			}
+		});
+	});
+	t.is(await seen, 1);
+	t.false(received);
+	await store.close();
+});
+
 test('platform: a worker that leaves an order unanswered, or is not there, is told apart', async t => {
 	const address = await serve(t, () => undefined);
 	const worker = openWorker(address);
--- a/test/proxy.ts
+++ b/test/proxy.ts
@@ -23,6 +23,8 @@
 	bytes = 0;
 	/** Added to every chunk either way, in milliseconds. */
 	delayMs = 0;
+	/** The rate of all connections together in each direction, in bytes a second. Infinite: not limited. */
+	bytesPerSecond = Number.POSITIVE_INFINITY;
 	/** Refuses new connections and cuts those that come. */
 	closed = false;
 	private readonly server = net.createServer(client => {
@@ -32,6 +34,8 @@
 	private readonly pairs = new Set<Pair>();
 	private readonly held: Record<Direction, Array<() => void> | undefined> = {up: undefined, down: undefined};
 	private losing = 0;
+	/** When the limited rate has passed on all that came before, in milliseconds. */
+	private readonly busyUntil: Record<Direction, number> = {up: 0, down: 0};
 
 	private constructor(public target: string) {}
 
@@ -113,6 +117,8 @@
 			}, {to});
 			if (this.held[direction]) {
 				this.held[direction].push(send);
+			} else if (Number.isFinite(this.bytesPerSecond)) {
+				this.sendThrottled(from, send, chunk.length, direction);
 			} else if (this.delayMs > 0) {
 				setTimeout(send, this.delayMs);
 			} else {
@@ -120,6 +126,17 @@
 			}
 		});
 	}
+
+	/** Passes a chunk on when the limited rate allows it, and reads no more from its connection before that. */
+	private sendThrottled(from: Socket, send: () => void, bytes: number, direction: Direction): void {
+		const now = performance.now();
+		this.busyUntil[direction] = Math.max(now, this.busyUntil[direction]) + (bytes * 1000 / this.bytesPerSecond);
+		from.pause();
+		setTimeout(() => {
+			send();
+			from.resume();
+		}, this.busyUntil[direction] - now);
+	}
 }
 
 /** Keeps the order within a connection and turns round that of the connections. */
