--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -3,6 +3,7 @@
 	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
 } from '../decide/schedule.js';
 import type {Clock} from '../ports/clock.js';
+import type {PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
 import {
@@ -18,6 +19,8 @@
 	address: string;
 	/** Addresses where other entries may be found. */
 	seeds: readonly string[];
+	/** The scheduling policy; absent for the default. */
+	policy?: PolicySettings;
 };
 
 /** How often waiting jobs are checked, in milliseconds. */
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -9,6 +9,7 @@
 import type {
 	Executor, PollResult, Reply, RunId,
 } from '../ports/executor.js';
+import type {PolicySettings} from '../settings/policy.js';
 import {deferred} from '../deferred.js';
 import type {DriverMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
@@ -26,6 +27,8 @@
 	seeds: readonly string[];
 	/** The longest lease that a worker grants, in milliseconds. */
 	leaseMs: number;
+	/** The scheduling policy; absent for the default. */
+	policy?: PolicySettings;
 };
 
 export type DriverDependencies = {clock: Clock; executor: Executor; log: Logger; metrics: DriverMetrics};
