Entries: a desired state that is already held is not requested again under a newer version

Change: 'newest' carries a digest of the state's text; an entry that holds the same text takes the newer version without the state.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
 	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
@@ -70,7 +71,7 @@
 	private readonly entries = new Map<Link, number>();
 	private readonly book: AddressBook;
 	private readonly waiters = new Map<string, Set<Waiter>>();
-	private desired: {asOf: number; text: string} = {asOf: 0, text: ''};
+	private desired = {asOf: 0, text: '', digest: ''};
 	private out: readonly string[] = [];
 	/** When the next job that has not begun is to be refused, and the timer for it. */
 	private armedFor = Number.POSITIVE_INFINITY;
@@ -130,9 +131,14 @@
 		return known;
 	}
 
-	/** Sets the desired state in force, which is passed on to entries as `text`, and the zones that are out of service. */
+	/** The version of the desired state in force; 0 before there is one. */
+	get desiredAsOf(): number {
+		return this.desired.asOf;
+	}
+
+	/** Sets the desired state in force, which is passed on to entries as `text`, and the zones that are out of service. The same state must have the same text. */
 	setDesiredState(asOf: number, text: string, out: readonly string[]): void {
-		this.desired = {asOf, text};
+		this.desired = {asOf, text, digest: createHash('sha256').update(text).digest('base64')};
 		this.fetches = 0;
 		this.out = out;
 		this.apply({kind: 'zones', out: new Set(out)});
@@ -141,7 +147,7 @@
 		}
 
 		for (const link of this.entries.keys()) {
-			link.send({kind: 'newest', asOf});
+			link.send(this.newestState());
 		}
 	}
 
@@ -238,12 +244,17 @@
 
 			case 'newest': {
 				this.entries.set(link, message.asOf);
+				if (message.digest === this.desired.digest) {
+					this.desired.asOf = Math.max(this.desired.asOf, message.asOf);
+				}
+
 				this.catchUp();
 				break;
 			}
 
 			case 'fetch': {
-				link.send({kind: 'desired', ...this.desired});
+				const {asOf, text} = this.desired;
+				link.send({kind: 'desired', asOf, text});
 				break;
 			}
 
@@ -327,7 +338,7 @@
 		this.entries.set(link, 0);
 		link.send({kind: 'entries', addresses: this.addresses()});
 		if (this.desired.asOf > 0) {
-			link.send({kind: 'newest', asOf: this.desired.asOf});
+			link.send(this.newestState());
 		}
 
 		this.announceAddresses();
@@ -478,6 +489,11 @@
 		});
 	}
 
+	private newestState(): SyncMessage {
+		const {asOf, digest} = this.desired;
+		return {kind: 'newest', asOf, digest};
+	}
+
 	private hello(link: Link): void {
 		const {node, incarnation: life} = this.settings;
 		link.sendHello({
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -57,8 +57,11 @@
 const sync = [
 	/** The addresses of the entries that the sender has links to, and its own. */
 	z.object({kind: z.literal('entries'), addresses: z.array(z.string()).readonly()}),
-	/** The version of the desired state that the sender holds. A higher `asOf` is newer. */
-	z.object({kind: z.literal('newest'), asOf: z.number()}),
+	/**
+	 * The version of the desired state that the sender holds, and a digest of its text. A higher `asOf` is newer. The
+	 * store counts versions over all of its rows, so that the same state may be known under several.
+	 */
+	z.object({kind: z.literal('newest'), asOf: z.number(), digest: z.string().max(100).optional()}),
 	/** Requests that desired state. */
 	z.object({kind: z.literal('fetch')}),
 	/** A desired state, as received from the platform. */
--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -155,6 +155,23 @@
 	t.deepEqual(await got, [7, 'text']);
 });
 
+// Guards against entries that request the whole state from each other because the store's version rose with rows that have nothing to do with it.
+test('ephemeral: an entry that holds the same desired state under an older version takes the newer version, not the state', async t => {
+	const {entries: [first, second]} = await startCluster(t, 2, 0);
+	for (const entry of [first!, second!]) {
+		entry.onDesiredState = () => {
+			t.fail('it holds that state');
+		};
+	}
+
+	first!.setDesiredState(7, 'text', []);
+	second!.setDesiredState(5, 'text', []);
+	await waitUntil(() => second!.desiredAsOf === 7);
+	second!.setDesiredState(9, 'text', []);
+	await waitUntil(() => first!.desiredAsOf === 9);
+	t.is(second!.desiredAsOf, 9);
+});
+
 test('ephemeral: an entry that starts takes the desired state from another', async t => {
 	const {entries: [first]} = await startCluster(t, 1, 0);
 	first!.setDesiredState(7, 'text', []);
