Schedule: a module for each decision

The scheduler of an entry was one file of 1,061 lines, in which admission, ordering, placement, capacity requests, place records and lost runs shared one class. Each is now a module of src/decide/schedule/, and schedule.ts handles the events.

--- a/bench/decide.ts
+++ b/bench/decide.ts
@@ -1,5 +1,5 @@
 import process from 'node:process';
-import {Schedule, type Event, type Job} from '../src/decide/schedule.js';
+import {Schedule, type Event, type Job} from '../src/decide/schedule/schedule.js';
 
 /** How often each event is timed. */
 const rounds = 2000;
--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -7,7 +7,7 @@
 } from '../src/decide/guard.js';
 import {
 	Schedule, type Action, type Event, type Job, type Policy, type Verdict,
-} from '../src/decide/schedule.js';
+} from '../src/decide/schedule/schedule.js';
 import {rankByRendezvous} from '../src/decide/rendezvous.js';
 import type {Resources} from '../src/decide/resources.js';
 import type {Random} from '../src/ports/random.js';
--- /dev/null
+++ b/src/decide/schedule/active-job.ts
@@ -0,0 +1,45 @@
+import type {Job, TaskSpec} from './types.js';
+
+/** Task is one task of an admitted job with its state. */
+export type Task = {
+	spec: TaskSpec;
+	/** `placed`: an order for it is outstanding; `unknown`: the link to its place was lost meanwhile, so that it may still run there. */
+	state: 'waiting' | 'placed' | 'unknown' | 'done';
+	/** Its latest order. */
+	ref: number;
+	place: string;
+	placedAt: number;
+	/** The earliest time at which it may be placed again. */
+	notBefore: number;
+	failures: number;
+	/** The place where it last failed or was lost; others are preferred. */
+	lastFailedPlace: string;
+	/** Whether its run was ordered to stop because it hung. */
+	stopSent: boolean;
+};
+
+/** ActiveJob is an admitted job with the progress of its tasks and the times that govern it. */
+export type ActiveJob = {
+	job: Job;
+	tasks: Task[];
+	arrivedAt: number;
+	/** When the caller stops waiting. */
+	deadline: number;
+	/** The job is refused when none of its tasks was placed by then. */
+	refuseAt: number;
+	/** When the longest task must start for the job to meet its target; jobs are ordered by this. */
+	latestStartAt: number;
+	/** The expected time of its longest task, in milliseconds. */
+	longestMs: number;
+	/** When its last task must end for the job to meet its target response time. */
+	objectiveAt: number;
+	/** Whether a task of it may have run under an earlier submission that has ended. */
+	mayHaveRunEarlier: boolean;
+	/** Whether a task of it has run or may have, or may still run from an earlier submission. */
+	mayHaveRun: boolean;
+};
+
+/** Whether a task of the job may have run or has an order outstanding; such a job is no longer refused. */
+export function hasStarted({mayHaveRun, tasks}: ActiveJob): boolean {
+	return mayHaveRun || tasks.some(({state}) => state !== 'waiting');
+}
--- /dev/null
+++ b/src/decide/schedule/admission.ts
@@ -0,0 +1,130 @@
+import type {DurationEstimator} from '../duration-estimator.js';
+import {fits} from '../resources.js';
+import {hasStarted, type ActiveJob} from './active-job.js';
+import {compareSortKeys, sortKeyOf} from './ordering.js';
+import type {Places} from './places.js';
+import type {JobRefusal, Policy, Verdict} from './types.js';
+
+/**
+ * The warm-up, in milliseconds from the first place found, while places are still being discovered: after a loss of
+ * many machines callers return some 1300 ms later, and sidecars and workers take about as long to be found.
+ */
+const warmUpMs = 3000;
+/** Bounds of the retry delay suggested to a refused caller, in milliseconds. */
+const minRetryMs = 1000;
+const maxRetryMs = 5000;
+
+/** AdmissionInputs is what admission looks at: the policy, the places, learned run times and the jobs under way. */
+export type AdmissionInputs = {policy: Policy; places: Places; estimator: DurationEstimator; jobs: ReadonlyMap<string, ActiveJob>};
+
+/** Admission decides which jobs are taken, how long they may wait, and what is said to those that are given up. */
+export class Admission {
+	static create(inputs: AdmissionInputs): Admission {
+		return new Admission(inputs);
+	}
+
+	/** When all jobs must have ended because the entry shuts down. */
+	stopsAt = Number.POSITIVE_INFINITY;
+
+	/** When the first place reported: the start of the warm-up. */
+	private firstPlaceAt = Number.POSITIVE_INFINITY;
+
+	private constructor(private readonly inputs: AdmissionInputs) {}
+
+	/** Records that a place has reported, the first of which starts the warm-up. */
+	placeReported(now: number): void {
+		this.firstPlaceAt = Math.min(this.firstPlaceAt, now);
+	}
+
+	/** How long a job may wait for its first start, in milliseconds, given its target response time. */
+	patienceMs(objective: number, now: number): number {
+		const {settlingShare, patienceShare} = this.inputs.policy;
+		return objective * (this.isWarmingUp(now) ? settlingShare : patienceShare);
+	}
+
+	/** Decides on admission: returns why a new job is refused, or undefined to admit it. */
+	refusalReason(activeJob: ActiveJob, now: number): JobRefusal | undefined {
+		const {job, tasks, refuseAt, arrivedAt, longestMs} = activeJob;
+		if (refuseAt + (longestMs * this.inputs.policy.margin) > this.stopsAt) {
+			return 'stopping';
+		}
+
+		if (this.isWarmingUp(now)) {
+			return undefined;
+		}
+
+		const open = this.inputs.places.openIn(job.pool);
+		if (open.length === 0 || !tasks.every(({spec}) => open.some(({room}) => fits(spec.resources, room)))) {
+			return 'no-place';
+		}
+
+		return this.expectedMs(activeJob, now) > refuseAt - arrivedAt ? 'overloaded' : undefined;
+	}
+
+	/** Returns the verdict on a job that is given up. `refused` promises that nothing ran, so a job that may have run, also under an earlier submission, is `expired`. */
+	verdictOnGivingUp(activeJob: ActiveJob, why: JobRefusal, now: number): Verdict {
+		if (activeJob.mayHaveRunEarlier || hasStarted(activeJob)) {
+			return {kind: 'expired'};
+		}
+
+		const inputs = {
+			expectedMs: Math.round(this.expectedMs(activeJob, now)), patienceMs: Math.round(activeJob.refuseAt - activeJob.arrivedAt), waiting: this.pendingJobs(), ...this.inputs.places.counts,
+		};
+		return {
+			kind: 'refused', why, retryMs: this.retryMs(), inputs,
+		};
+	}
+
+	/** Returns the number of jobs of a route, or of all routes, that have not started. */
+	pendingJobs(route?: string): number {
+		return [...this.inputs.jobs.values()].filter(activeJob => (route === undefined || activeJob.job.route === route) && !hasStarted(activeJob)).length;
+	}
+
+	/** When the next job is due to be refused unless it starts; infinite when there is none. */
+	get nextRefusalAt(): number {
+		let due = Number.POSITIVE_INFINITY;
+		for (const activeJob of this.inputs.jobs.values()) {
+			due = hasStarted(activeJob) ? due : Math.min(due, activeJob.refuseAt);
+		}
+
+		return due;
+	}
+
+	/** Estimates the queueing time of a job: the waiting work ordered before it or equal to it, over this entry's share of the processing rate of its pool. */
+	private expectedMs(activeJob: ActiveJob, now: number): number {
+		const {policy, places, estimator, jobs} = this.inputs;
+		const {pool} = activeJob.job;
+		const sortKey = sortKeyOf(activeJob, policy, now);
+		let work = 0;
+		for (const other of jobs.values()) {
+			const {job, tasks} = other;
+			if (job.pool !== pool || compareSortKeys(sortKeyOf(other, policy, now), sortKey) > 0) {
+				continue;
+			}
+
+			for (const task of tasks) {
+				work += task.state === 'waiting' ? task.spec.resources.cpu * estimator.expectedMs(job.route, task.spec.estimateMs) : 0;
+			}
+		}
+
+		let rate = 0;
+		let own = 0;
+		let others = 0;
+		for (const place of places.openIn(pool)) {
+			rate += place.room.cpu / estimator.slowness(place.id);
+			own += place.ownUsage.cpu;
+			others += place.others.cpu;
+		}
+
+		const share = own + others === 0 ? 1 : Math.max(policy.shareLeast, own / (own + others));
+		return rate === 0 ? 0 : work / (rate * share);
+	}
+
+	private isWarmingUp(now: number): boolean {
+		return now - this.firstPlaceAt < warmUpMs;
+	}
+
+	private retryMs(): number {
+		return Math.min(maxRetryMs, minRetryMs + (this.pendingJobs() * 50));
+	}
+}
--- /dev/null
+++ b/src/decide/schedule/schedule.ts
@@ -0,0 +1,495 @@
+import {DurationEstimator} from '../duration-estimator.js';
+import type {Outcome, StartRefusal} from '../guard.js';
+import {fits} from '../resources.js';
+import {hasStarted, type ActiveJob, type Task} from './active-job.js';
+import {Admission} from './admission.js';
+import {Demand} from './demand.js';
+import {LostRuns, maxRunAfterLinkLossMs} from './lost-runs.js';
+import {Orders, type OutstandingOrder} from './orders.js';
+import {waitingJobs} from './ordering.js';
+import {Placement} from './placement.js';
+import {freeCapacity, Places, type PlaceState} from './places.js';
+import {
+	usualPolicy, type Action, type Event, type Job, type Policy, type Verdict,
+} from './types.js';
+
+export {maxRunAfterLinkLossMs} from './lost-runs.js';
+export * from './types.js';
+
+/** A run counts as hung after this many times its expected time plus this many milliseconds. */
+const hangFactor = 3;
+const hangMs = 600;
+/** How long a place gets no work after it refused an order, in milliseconds, unless it reports its capacity before. */
+const refusalBackoffMs = 15;
+/** How long a task waits that was refused because a run of the same name is still under way, in milliseconds. */
+const duplicateRetryMs = 120;
+
+/**
+ * Schedule is the scheduler of one entry: it does admission control, ordering and placement of its jobs. It handles
+ * the events and holds the jobs under way; each decision has a module of its own.
+ *
+ * - Admission (`admission.ts`) compares the expected queueing time with the wait that the policy allows. Near and
+ *   above the capacity of the workers, a job that would wait too long is better refused at once. An admitted
+ *   job is refused at `refuseAt` if none of its tasks was placed by then.
+ * - Ordering (`ordering.ts`): waiting jobs are sorted by `compareSortKeys`, at last by when they must start to be in time.
+ * - Placement (`placement.ts`, `places.ts`, `orders.ts`) picks a place with free capacity and reserves it until the
+ *   order is removed. The sidecar decides whether the task starts; entries don't coordinate, so it may refuse.
+ * - Demand (`demand.ts`): tasks that fit nowhere are summarised by pool, and places are asked for capacity.
+ *   These tasks have been tried at all places, so when one place changes, `fillPlace` tries only that one.
+ * - Single runs (`lost-runs.ts`): a task is not started while a run of it may be under way. A lost link makes its
+ *   tasks `unknown` until the place confirms their end or `maxRunAfterLinkLossMs` has passed. Tasks that may outlive
+ *   their job are remembered, so that a job submitted again does not start them twice.
+ *
+ * `step` handles an event and returns the actions. It has no side effects outside the schedule and reads no
+ * clock: the same events at the same times give the same actions.
+ */
+export class Schedule {
+	static create(policy: Partial<Policy> = {}): Schedule {
+		return new Schedule({...usualPolicy, ...policy});
+	}
+
+	/** Learned run times of routes and slowness of places. */
+	readonly estimator = DurationEstimator.create();
+
+	/** Jobs under way by id. */
+	private readonly jobs = new Map<string, ActiveJob>();
+	private readonly places = Places.create();
+	private readonly orders = Orders.create(this.places);
+	private readonly lostRuns = LostRuns.create();
+	private readonly demand = Demand.create(this.places);
+	private readonly admission: Admission;
+	private readonly placement: Placement;
+
+	private constructor(private readonly policy: Policy) {
+		const {places, estimator, jobs} = this;
+		this.admission = Admission.create({
+			policy, places, estimator, jobs,
+		});
+		this.placement = Placement.create(policy, places, estimator);
+	}
+
+	get jobCount(): number {
+		return this.jobs.size;
+	}
+
+	/** The number of places with a link, and of those that are open to work: no reason against it reported, and in an available zone. */
+	get placeCounts(): {linked: number; open: number} {
+		return this.places.counts;
+	}
+
+	/** Returns the number of jobs of a route, or of all routes, that have not started. */
+	pendingJobs(route?: string): number {
+		return this.admission.pendingJobs(route);
+	}
+
+	/** Returns whether a job is queued or has started; undefined when it is not under way. */
+	jobState(id: string): 'queued' | 'running' | undefined {
+		const activeJob = this.jobs.get(id);
+		if (!activeJob) {
+			return undefined;
+		}
+
+		return hasStarted(activeJob) ? 'running' : 'queued';
+	}
+
+	/** Returns the names of the tasks with an outstanding order at a place. */
+	outstandingTasks(place: string): string[] {
+		return this.orders.at(place).map(([, {task}]) => task.spec.name);
+	}
+
+	/** Returns the number of outstanding orders at a place. */
+	outstandingAt(place: string): number {
+		return this.places.get(place)?.outstandingOrders ?? 0;
+	}
+
+	/** Returns the task name of an outstanding order. */
+	taskName(ref: number): string | undefined {
+		return this.orders.get(ref)?.task.spec.name;
+	}
+
+	/** When the next job is due to be refused unless it starts; infinite when there is none. */
+	get nextRefusalAt(): number {
+		return this.admission.nextRefusalAt;
+	}
+
+	/** Handles one event and returns the resulting actions. `now` is in monotonic milliseconds. */
+	step(event: Event, now: number): Action[] {
+		const actions: Action[] = [];
+		switch (event.kind) {
+			case 'submit': {
+				this.submit(event.job, now, actions);
+				break;
+			}
+
+			case 'left': {
+				this.removeJob(event.job, now, actions);
+				break;
+			}
+
+			case 'cancel': {
+				const activeJob = this.jobs.get(event.job);
+				if (activeJob) {
+					this.finish(activeJob, {kind: 'cancelled'}, now, actions);
+				}
+
+				break;
+			}
+
+			case 'told': {
+				this.admission.placeReported(now);
+				this.places.update(event.place, event.report, now);
+				this.fillPlace(event.place, now, actions);
+				break;
+			}
+
+			case 'room': {
+				const place = this.places.get(event.place);
+				if (place) {
+					place.others = event.others;
+					place.notBefore = 0;
+					this.fillPlace(event.place, now, actions);
+				}
+
+				break;
+			}
+
+			case 'offered': {
+				const place = this.places.get(event.place);
+				if (place) {
+					place.capacityRequested = false;
+				}
+
+				break;
+			}
+
+			case 'down': {
+				this.handleLinkLoss(event.place, now);
+				break;
+			}
+
+			case 'clear': {
+				this.handleRunsEnded(event.place, now, actions);
+				break;
+			}
+
+			case 'refused': {
+				this.handleRefusal(event, now, actions);
+				break;
+			}
+
+			case 'ended': {
+				this.handleEnd(event, now, actions);
+				this.fillPlace(event.place, now, actions);
+				break;
+			}
+
+			case 'zones': {
+				this.places.unavailableZones = event.out;
+				break;
+			}
+
+			case 'stopping': {
+				this.admission.stopsAt = event.until;
+				break;
+			}
+
+			case 'tick': {
+				this.tick(now, actions);
+				break;
+			}
+		}
+
+		return actions;
+	}
+
+	private submit(job: Job, now: number, actions: Action[]): void {
+		const tasks = job.tasks.map((spec): Task => ({
+			spec, state: 'waiting', ref: 0, place: '', placedAt: 0, notBefore: 0, failures: 0, lastFailedPlace: '', stopSent: false,
+		})).toSorted((a, b) => b.spec.estimateMs - a.spec.estimateMs);
+		const longestMs = this.estimator.expectedMs(job.route, tasks[0]?.spec.estimateMs ?? 0);
+		const objective = job.aimMs + (job.stretch * longestMs);
+		const activeJob: ActiveJob = {
+			job,
+			tasks,
+			arrivedAt: now,
+			deadline: now + job.leftMs,
+			refuseAt: now + this.admission.patienceMs(objective, now),
+			latestStartAt: now + objective - longestMs,
+			longestMs,
+			objectiveAt: now + objective,
+			mayHaveRunEarlier: this.lostRuns.mayHaveRunBefore(job.id, now),
+			mayHaveRun: tasks.some(({spec}) => this.lostRuns.mayStillRun(spec.name, now)),
+		};
+		const why = this.admission.refusalReason(activeJob, now);
+		if (why) {
+			actions.push({
+				kind: 'answer', job: job.id, verdict: this.admission.verdictOnGivingUp(activeJob, why, now), waitedMs: 0,
+			});
+			return;
+		}
+
+		this.jobs.set(job.id, activeJob);
+		this.placeAll(now, actions);
+	}
+
+	/** Marks all tasks at a place as possibly still running, until the place confirms their end or the longest run is over. */
+	private handleLinkLoss(id: string, now: number): void {
+		this.lostRuns.linkLost(id, now);
+		this.places.markLinkLost(id, now);
+		this.removeOldPlaces(now);
+		for (const [ref, {activeJob, task}] of this.orders.at(id)) {
+			if (task.ref === ref && task.state === 'placed' && this.jobs.get(activeJob.job.id) === activeJob) {
+				activeJob.mayHaveRun = true;
+				task.state = 'unknown';
+				task.notBefore = now + maxRunAfterLinkLossMs;
+			} else if (task.ref !== ref || task.state !== 'unknown') {
+				this.orders.remove(ref, id);
+			}
+		}
+	}
+
+	/** Removes the records and learned slowness of places that have been without a link for long. */
+	private removeOldPlaces(now: number): void {
+		for (const id of this.places.removeOld(now)) {
+			this.lostRuns.forgetPlace(id);
+		}
+
+		this.estimator.prune(place => this.places.get(place) !== undefined);
+	}
+
+	/** Requeues the tasks of unknown state at a place, which has confirmed that its earlier runs have ended. */
+	private handleRunsEnded(id: string, now: number, actions: Action[]): void {
+		if (!this.lostRuns.confirmEnds(id)) {
+			return;
+		}
+
+		for (const [ref, {task}] of this.orders.at(id)) {
+			if (task.ref === ref && task.state === 'unknown') {
+				this.orders.requeue(task, now);
+			}
+		}
+
+		this.placeAll(now, actions);
+	}
+
+	private handleRefusal({place: id, ref, why}: {place: string; ref: number; why: StartRefusal}, now: number, actions: Action[]): void {
+		const order = this.orders.remove(ref, id);
+		this.taskEnded(order, ref, now, actions);
+		const place = this.places.get(id);
+		if (place && why !== 'duplicate' && why !== 'withdrawn') {
+			place.notBefore = now + refusalBackoffMs;
+		}
+
+		if (order?.task.ref === ref && order.task.state === 'placed') {
+			order.task.state = 'waiting';
+			order.task.notBefore = why === 'duplicate' ? now + duplicateRetryMs : 0;
+			if (this.jobs.get(order.activeJob.job.id) === order.activeJob) {
+				this.placeJob(order.activeJob, now, actions);
+			}
+		}
+	}
+
+	private handleEnd({
+		place: id, ref, outcome, ranMs,
+	}: {place: string; ref: number; outcome: Outcome; ranMs: number}, now: number, actions: Action[]): void {
+		const order = this.orders.remove(ref, id);
+		this.taskEnded(order, ref, now, actions);
+		if (!order) {
+			return;
+		}
+
+		const {activeJob, task} = order;
+		const place = this.places.get(id);
+		if (place && outcome !== 'lost') {
+			this.places.recordResult(place, outcome === 'done', now);
+		}
+
+		if (outcome === 'done') {
+			this.estimator.observe({
+				route: activeJob.job.route, place: id, ranMs, declaredMs: Math.max(1, task.spec.estimateMs),
+			});
+		}
+
+		if (task.ref !== ref || task.state !== 'placed' || this.jobs.get(activeJob.job.id) !== activeJob) {
+			return;
+		}
+
+		activeJob.mayHaveRun = true;
+		switch (outcome) {
+			case 'done': {
+				task.state = 'done';
+				if (activeJob.tasks.every(({state}) => state === 'done')) {
+					this.finish(activeJob, {kind: 'completed'}, now, actions);
+				}
+
+				break;
+			}
+
+			case 'failed': {
+				task.failures++;
+				task.lastFailedPlace = id;
+				this.orders.requeue(task, now);
+				if (task.failures >= activeJob.job.attempts) {
+					this.finish(activeJob, {kind: 'failed'}, now, actions);
+				} else {
+					this.placeJob(activeJob, now, actions);
+				}
+
+				break;
+			}
+
+			case 'lost': {
+				task.lastFailedPlace = id;
+				this.orders.requeue(task, now);
+				this.placeJob(activeJob, now, actions);
+				break;
+			}
+		}
+	}
+
+	private tick(now: number, actions: Action[]): void {
+		this.lostRuns.expire(now);
+		for (const activeJob of this.jobs.values()) {
+			if (now >= activeJob.deadline) {
+				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, 'overloaded', now), now, actions);
+				continue;
+			}
+
+			if (now >= activeJob.refuseAt && !hasStarted(activeJob)) {
+				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, this.placeCounts.open === 0 ? 'no-place' : 'overloaded', now), now, actions);
+				continue;
+			}
+
+			for (const task of activeJob.tasks) {
+				this.checkTask(activeJob, task, now, actions);
+			}
+		}
+
+		this.placeAll(now, actions);
+	}
+
+	/** Requeues a task of unknown state once it can no longer run, and stops one that hangs. */
+	private checkTask(activeJob: ActiveJob, task: Task, now: number, actions: Action[]): void {
+		if (task.state === 'unknown' && now >= task.notBefore) {
+			this.orders.requeue(task, now);
+			return;
+		}
+
+		if (task.state !== 'placed' || task.stopSent) {
+			return;
+		}
+
+		const expected = this.estimator.expectedMs(activeJob.job.route, task.spec.estimateMs) * this.estimator.slowness(task.place);
+		if (now - task.placedAt > (expected * hangFactor) + hangMs) {
+			task.stopSent = true;
+			const place = this.places.get(task.place);
+			if (place) {
+				this.places.recordResult(place, false, now);
+			}
+
+			actions.push({
+				kind: 'stop', place: task.place, ref: task.ref, hung: true,
+			});
+		}
+	}
+
+	/** Places waiting tasks of all jobs as far as capacity allows, and requests capacity for the rest. */
+	private placeAll(now: number, actions: Action[]): void {
+		this.demand.clear();
+		for (const activeJob of waitingJobs(this.jobs.values(), this.policy, now)) {
+			const task = this.placeTasks(activeJob, now, actions);
+			if (task) {
+				this.demand.add(activeJob, task);
+			}
+		}
+
+		this.demand.requestAll(this.jobs, now, actions);
+	}
+
+	/** Places the requeued tasks of one job. All other waiting tasks have been tried already. */
+	private placeJob(activeJob: ActiveJob, now: number, actions: Action[]): void {
+		const task = this.placeTasks(activeJob, now, actions);
+		if (task) {
+			this.demand.add(activeJob, task);
+			this.demand.request(activeJob.job.pool, this.jobs, now, actions);
+		}
+	}
+
+	/** Places waiting tasks at one place whose state has changed. They have found no capacity elsewhere, so no other place is tried. */
+	private fillPlace(id: string, now: number, actions: Action[]): void {
+		const place = this.places.get(id);
+		const demand = place && this.demand.get(place.pool);
+		if (!demand || !this.places.mayReceive(place, now)) {
+			return;
+		}
+
+		if (fits(demand.smallest, freeCapacity(place))) {
+			this.demand.clear(place.pool);
+			for (const activeJob of waitingJobs(this.jobs.values(), this.policy, now, place.pool)) {
+				const task = this.placeTasks(activeJob, now, actions, place);
+				if (task) {
+					this.demand.add(activeJob, task);
+				}
+			}
+		}
+
+		this.demand.request(place.pool, this.jobs, now, actions);
+	}
+
+	/** Places the waiting tasks of a job, the longest first, at any place or at `only`. Returns the first task that found no capacity. */
+	private placeTasks(activeJob: ActiveJob, now: number, actions: Action[], only?: PlaceState): Task | undefined {
+		const demand = this.demand.get(activeJob.job.pool);
+		for (const task of activeJob.tasks) {
+			if (task.state === 'waiting' && now >= task.notBefore && !this.lostRuns.mayStillRun(task.spec.name, now)) {
+				// A task at least as large as one that has just found no capacity finds none either.
+				const isHopeless = demand !== undefined && fits(demand.task.spec.resources, task.spec.resources);
+				const place = isHopeless ? undefined : this.placement.choose(activeJob, task, now, only);
+				if (!place) {
+					return task;
+				}
+
+				actions.push(this.orders.send(activeJob, task, place, now));
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Forgets a lingering task when its order has ended, so that a job submitted again may start it. */
+	private taskEnded(order: OutstandingOrder | undefined, ref: number, now: number, actions: Action[]): void {
+		if (order && this.lostRuns.taskEnded(order.task.spec.name, ref)) {
+			this.placeAll(now, actions);
+		}
+	}
+
+	/** Removes a job, stops its runs and answers its caller. */
+	private finish(activeJob: ActiveJob, verdict: Verdict, now: number, actions: Action[]): void {
+		this.removeJob(activeJob.job.id, now, actions);
+		actions.push({
+			kind: 'answer', job: activeJob.job.id, verdict, waitedMs: now - activeJob.arrivedAt,
+		});
+	}
+
+	/** Removes a job and stops its runs. Tasks that may still run are remembered. */
+	private removeJob(id: string, now: number, actions: Action[]): void {
+		const activeJob = this.jobs.get(id);
+		if (!activeJob) {
+			return;
+		}
+
+		this.jobs.delete(id);
+		if (activeJob.mayHaveRunEarlier || hasStarted(activeJob)) {
+			this.lostRuns.recordJobEnd(activeJob, now);
+		}
+
+		for (const {state, ref, place, stopSent} of activeJob.tasks) {
+			if (state === 'placed' && !stopSent) {
+				actions.push({
+					kind: 'stop', place, ref, hung: false,
+				});
+			} else if (state === 'unknown') {
+				this.orders.remove(ref, place);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/decide/schedule/types.ts
@@ -0,0 +1,120 @@
+import type {StartRefusal, Outcome} from '../guard.js';
+import type {Resources} from '../resources.js';
+
+/** Job is a submission that is held in memory only. It completes when all of its tasks have succeeded; any other end is reported by its verdict. */
+export type Job = {
+	/** Unique among the jobs under way. */
+	id: string;
+	/** The kind of request; run times are learned per route. */
+	route: string;
+	pool: string;
+	spec: string;
+	tasks: readonly TaskSpec[];
+	/** The target response time is `aimMs` plus `stretch` times the expected time of the longest task. */
+	aimMs: number;
+	stretch: number;
+	/** The number of failures of one task that fails the job. Lost runs do not count. */
+	attempts: number;
+	/** 0 is the most urgent. */
+	priority: number;
+	/** Time to the caller's deadline, in milliseconds from the submission. */
+	leftMs: number;
+};
+
+/** TaskSpec is one task: its full name, the resources it needs and its declared run time. */
+export type TaskSpec = {name: string; resources: Resources; estimateMs: number};
+
+/** PlaceReport is what a sidecar reports of its worker: `room` is the worker's whole capacity, `others` the part of it in use for other entries. */
+export type PlaceReport = {
+	zone: string;
+	pool: string;
+	room: Resources;
+	others: Resources;
+	/** Whether all runs that ended there lately failed, those of other entries included. */
+	isFailing: boolean;
+	hindrance?: StartRefusal;
+};
+
+/** Verdict is how a job ends. */
+export type Verdict
+	= | {kind: 'completed'}
+	/** A task has failed as often as `Job.attempts` allows. */
+		| {kind: 'failed'}
+	/** None of its tasks ran or will run, so the caller may safely submit it again. */
+		| {kind: 'refused'; why: JobRefusal; retryMs: number; inputs: RefusalInputs}
+	/** Given up after one of its tasks may have been started. */
+		| {kind: 'expired'}
+		| {kind: 'cancelled'};
+
+/**
+ * RefusalInputs are the figures behind a refusal: the expected queueing time and the longest wait allowed for the
+ * job, in milliseconds, the numbers of available and of linked places, and the number of jobs that have not started.
+ */
+export type RefusalInputs = {expectedMs: number; patienceMs: number; open: number; linked: number; waiting: number};
+
+/** JobRefusal is why an entry does not run a job. */
+export type JobRefusal = 'no-place' | 'overloaded' | 'stopping';
+
+/** Event is an input of the schedule. */
+export type Event
+	= | {kind: 'submit'; job: Job}
+	/** The caller disconnected (`left`; it gets no answer) or cancelled the job (`cancel`). */
+		| {kind: 'left' | 'cancel'; job: string}
+	/** A place sent a full report. */
+		| {kind: 'told'; place: string; report: PlaceReport}
+	/** The capacity in use for other entries changed. */
+		| {kind: 'room'; place: string; others: Resources}
+	/** The capacity requested there is free and reserved for a moment. A `room` event with the amount follows. */
+		| {kind: 'offered'; place: string}
+	/** The link to the place was lost. */
+		| {kind: 'down'; place: string}
+	/** All runs started at the place before its link was last lost have ended. */
+		| {kind: 'clear'; place: string}
+	/** The sidecar did not start the task of order `ref`, and will not. */
+		| {kind: 'refused'; place: string; ref: number; why: StartRefusal}
+		| {kind: 'ended'; place: string; ref: number; outcome: Outcome; ranMs: number}
+	/** The availability zones that get no work. */
+		| {kind: 'zones'; out: ReadonlySet<string>}
+	/** The entry is shutting down: only jobs expected to end by `until` are admitted. */
+		| {kind: 'stopping'; until: number}
+		| {kind: 'tick'};
+
+/** StartAction orders a sidecar to start a task; `ref` identifies the order. */
+export type StartAction = {kind: 'start'; place: string; ref: number; job: Job; task: TaskSpec};
+
+/** Action is an output of the schedule, for the caller to carry out. */
+export type Action
+	= | StartAction
+	/** Stop the run of an order; `hung`: because it far exceeded its expected time. */
+		| {kind: 'stop'; place: string; ref: number; hung: boolean}
+	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. */
+		| {kind: 'want'; place: string; resources: Resources; dueMs: number}
+		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
+
+/** Policy holds the parameters that benchmarks may vary; production runs `usualPolicy`. */
+export type Policy = {
+	/** How long a job may wait for its first start before it is refused, as a share of its target response time. */
+	patienceShare: number;
+	/** The same during the warm-up, when places are still found one after the other. */
+	settlingShare: number;
+	/** Whether jobs are ordered by priority first (after `lateLast`). */
+	urgentFirst: boolean;
+	/** Whether, after that, jobs that have started go before those that have not. */
+	begunFirst: boolean;
+	/** Whether jobs that have not started and can no longer meet their target go after all others. */
+	lateLast: boolean;
+	/** Whether a task goes to the least loaded of the places expected to finish it in time, instead of the fastest. */
+	spread: boolean;
+	/**
+	 * The lower bound of the share of its places' processing rate that an entry counts on in admission. The share
+	 * itself is that of its own work in all that runs there. It matters under overload with tens of entries.
+	 */
+	shareLeast: number;
+	/** The safety factor on expected run times wherever a task must end in time: estimates are some 40% off. */
+	margin: number;
+};
+
+/** The policy of production. */
+export const usualPolicy: Policy = {
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2,
+};
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,7 +1,7 @@
 import type {Logger} from 'pino';
 import {
 	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
-} from '../decide/schedule.js';
+} from '../decide/schedule/schedule.js';
 import type {Clock} from '../ports/clock.js';
 import type {PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
--- a/src/index.ts
+++ b/src/index.ts
@@ -23,7 +23,7 @@
 } from './results.js';
 export {
 	Schedule, usualPolicy, type Policy, type Job, type Verdict,
-} from './decide/schedule.js';
+} from './decide/schedule/schedule.js';
 export {Guard} from './decide/guard.js';
 export {Dispatcher} from './ephemeral/dispatcher.js';
 export {Driver} from './ephemeral/driver.js';
--- a/test/ephemeral-cluster.ts
+++ b/test/ephemeral-cluster.ts
@@ -1,7 +1,7 @@
 import type {ExecutionContext} from 'ava';
 import {pino} from 'pino';
 import {systemClock} from '../src/adapters/clock.js';
-import type {Job, Verdict} from '../src/decide/schedule.js';
+import type {Job, Verdict} from '../src/decide/schedule/schedule.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {Driver} from '../src/ephemeral/driver.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -12,7 +12,7 @@
 import {Store} from '../platform/store.js';
 import {decodeLook, decodeReply} from '../platform/worker.js';
 import {systemClock} from '../src/adapters/clock.js';
-import type {Verdict} from '../src/decide/schedule.js';
+import type {Verdict} from '../src/decide/schedule/schedule.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {Driver} from '../src/ephemeral/driver.js';
 import {splitAddress} from '../src/ephemeral/link.js';
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -3,7 +3,7 @@
 import type {StartRefusal, Outcome} from '../src/decide/guard.js';
 import {
 	maxRunAfterLinkLossMs, Schedule, type Action, type Event, type Job, type PlaceReport, type Verdict,
-} from '../src/decide/schedule.js';
+} from '../src/decide/schedule/schedule.js';
 
 const room = (cpu: number) => ({cpu, memoryMb: 1, accelerators: 0});
 const job = (fields: Partial<Job> = {}, tasks = 1, cpu = 4): Job => ({
