--- a/bench/main.ts
+++ b/bench/main.ts
@@ -23,6 +23,12 @@
 		return;
 	}
 
+	if (scenario === 'links') {
+		const {measureLinks} = await import('./links.js');
+		await measureLinks(positionals[1] ?? 'auto', Number(values.seed));
+		return;
+	}
+
 	if (scenario === 'decide') {
 		const {timeDecisions} = await import('./decide.js');
 		timeDecisions([[11, 20], [160, 20], [160, 100], [160, 300], [314, 300]]);
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -62,6 +62,9 @@
 	/** Called with a newer desired state received from another entry. */
 	onDesiredState?: (asOf: number, text: string) => void;
 
+	/** Called with the messages that were sent together on a link and the bytes that they took. */
+	onFlush?: (messages: readonly Message[], bytes: number) => void;
+
 	/** Returns whether an answer of the store is arriving, which may hold a newer desired state. */
 	isStoreAnswering?: () => boolean;
 
@@ -91,6 +94,7 @@
 	) {
 		this.address = settings.address;
 		this.links = Links.create(clock, this);
+		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
 			clock, links: this.links, redialMs, ownAddress: () => this.address, onLinkOpened: link => {
 				this.hello(link);
@@ -105,6 +109,11 @@
 		}, tickMs);
 	}
 
+	/** The bytes that the sockets of all links have not yet passed to the operating system. */
+	get unsentBytes(): number {
+		return this.links.unsentBytes;
+	}
+
 	/**
 	 * Submits a job, or joins the job with the same name that is under way, and calls `answer` when it ends.
 	 * Returns a function to call when the caller has disconnected: a job without waiting callers is stopped.
@@ -171,6 +180,10 @@
 		this.links.close();
 	}
 
+	flushed(_link: Link, messages: readonly Message[], bytes: number): void {
+		this.onFlush?.(messages, bytes);
+	}
+
 	isNeeded({peer}: Link): boolean {
 		return peer?.role === 'sidecar' && this.schedule.outstandingAt(peer.node) > 0;
 	}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -66,6 +66,9 @@
 
 	readonly guard = Guard.create();
 
+	/** Called with the messages that were sent together on a link and the bytes that they took. */
+	onFlush?: (messages: readonly Message[], bytes: number) => void;
+
 	private readonly book: AddressBook;
 	/** The links whose entry has sent its hello, by the entry's incarnation. */
 	private readonly owners = new Map<string, Link>();
@@ -95,6 +98,7 @@
 			clock: this.clock, executor: this.executor, log: this.log, metrics: this.meters,
 		} = dependencies);
 		this.links = Links.create(this.clock, this);
+		this.meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
 			clock: this.clock, links: this.links, redialMs, ownAddress: () => undefined, onLinkOpened(link) {
 				link.sendHello({
@@ -219,6 +223,10 @@
 		}
 	}
 
+	flushed(_link: Link, messages: readonly Message[], bytes: number): void {
+		this.onFlush?.(messages, bytes);
+	}
+
 	isNeeded({peer}: Link): boolean {
 		return peer !== undefined && this.guard.isNeededBy(ownerOf({peer}));
 	}
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -25,6 +25,9 @@
 /** Why a link ended: `released` if this side no longer needs it, `failed` if one of its messages could not be handled. */
 export type LinkEndReason = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
+/** The bytes received and sent on links, by the role of the other side; before its hello it is a stranger. */
+export type LinkTraffic = Record<Hello['role'] | 'stranger', {in: number; out: number}>;
+
 /** Handles the messages and the end of links. */
 export type Receiver = {
 	receive(message: Message, link: Link): void;
@@ -32,10 +35,14 @@
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void;
 	/** Called before pending messages are sent, to add one that carries a time stamp or a summary for them. */
 	beforeFlush?(link: Link): void;
+	/** Called with the messages that were sent together and the bytes that they took. */
+	flushed?(link: Link, messages: readonly Message[], bytes: number): void;
 	/** Returns whether work under way depends on the other side of the link. */
 	isNeeded(link: Link): boolean;
 };
 
+export type LinkDependencies = {clock: Clock; receiver: Receiver; traffic: LinkTraffic; ended(link: Link): void};
+
 /**
  * Link is an ordered, long-lived connection between two processes of the system. The messages of one turn of the
  * event loop are sent together, as one line of JSON. A link that is silent for `silenceMs` while it is needed ends,
@@ -45,8 +52,8 @@
  * their order with the messages that carry the time stamp for them.
  */
 export class Link {
-	static create(socket: Socket, clock: Clock, receiver: Receiver, ended: (link: Link) => void): Link {
-		return new Link(socket, clock, receiver, ended);
+	static create(socket: Socket, dependencies: LinkDependencies): Link {
+		return new Link(socket, dependencies);
 	}
 
 	/** The other side's hello, once it has arrived. No other message is accepted before it. */
@@ -69,12 +76,16 @@
 	private incompleteLine = '';
 	private readonly decoder = new StringDecoder('utf8');
 
-	private constructor(
-		private readonly socket: Socket,
-		private readonly clock: Clock,
-		private readonly receiver: Receiver,
-		private readonly onEnd: (link: Link) => void,
-	) {
+	private readonly clock: Clock;
+	private readonly receiver: Receiver;
+	private readonly traffic: LinkTraffic;
+	private readonly onEnd: (link: Link) => void;
+
+	private constructor(private readonly socket: Socket, dependencies: LinkDependencies) {
+		({
+			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: this.onEnd,
+		} = dependencies);
+		const {clock} = this;
 		this.remoteAddress = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.receivedAt = clock.mono();
 		this.sentAt = this.receivedAt;
@@ -95,6 +106,11 @@
 		return !this.hasEnded;
 	}
 
+	/** The bytes that the socket has not yet passed to the operating system. */
+	get unsentBytes(): number {
+		return this.hasEnded ? 0 : this.socket.writableLength;
+	}
+
 	/** Sends this side's hello, unless it was sent before. */
 	sendHello(hello: Hello): void {
 		if (!this.isHelloSent) {
@@ -147,10 +163,13 @@
 
 		this.receiver.beforeFlush?.(this);
 		this.scheduled = false;
-		const line = `${JSON.stringify(this.pending)}\n`;
+		const messages = this.pending;
+		const line = Buffer.from(`${JSON.stringify(messages)}\n`);
 		this.pending = [];
 		this.sentAt = this.clock.mono();
 		this.socket.write(line);
+		this.traffic[this.peer?.role ?? 'stranger'].out += line.length;
+		this.receiver.flushed?.(this, messages, line.length);
 		if (this.socket.writableLength > backlogBytes) {
 			this.end('stuck');
 		}
@@ -163,6 +182,7 @@
 
 	private read(chunk: Uint8Array): void {
 		this.receivedAt = this.clock.mono();
+		this.traffic[this.peer?.role ?? 'stranger'].in += chunk.length;
 		const lines = (this.incompleteLine + this.decoder.write(Buffer.from(chunk))).split('\n');
 		this.incompleteLine = lines.pop()!;
 		if (this.incompleteLine.length > lineLimit) {
@@ -255,6 +275,9 @@
 		return new Links(clock, receiver);
 	}
 
+	/** The bytes of all links since the start, ended ones included. */
+	readonly traffic: LinkTraffic = {entry: {in: 0, out: 0}, sidecar: {in: 0, out: 0}, stranger: {in: 0, out: 0}};
+
 	private readonly open = new Set<Link>();
 	private readonly timer: NodeJS.Timeout;
 	private server?: Server;
@@ -267,6 +290,16 @@
 		}, checkMs);
 	}
 
+	/** The bytes that the sockets of all links have not yet passed to the operating system. */
+	get unsentBytes(): number {
+		let sum = 0;
+		for (const link of this.open) {
+			sum += link.unsentBytes;
+		}
+
+		return sum;
+	}
+
 	/** Opens a link to an address, as host:port. Resolves to `undefined` if it cannot be reached within `connectMs`. */
 	async dial(address: string): Promise<Link | undefined> {
 		const [host, port] = splitAddress(address);
@@ -312,8 +345,10 @@
 	}
 
 	private add(socket: Socket): Link {
-		const link = Link.create(socket, this.clock, this.receiver, ended => {
-			this.open.delete(ended);
+		const link = Link.create(socket, {
+			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: ended => {
+				this.open.delete(ended);
+			},
 		});
 		this.open.add(link);
 		return link;
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -2,6 +2,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {LogSink} from '../adapters/log.js';
+import type {LinkTraffic} from './link.js';
 
 /** Upper bounds of the latency histograms, in seconds. */
 const buckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
@@ -21,6 +22,19 @@
 	});
 }
 
+function countTraffic(registry: Registry, traffic: LinkTraffic): void {
+	const made = new Counter<'direction' | 'peer'>({
+		name: 'sniperidge_link_bytes_total', help: 'Bytes on links by direction and the role of the other side.', labelNames: ['direction', 'peer'], registers: [registry],
+		collect() {
+			made.reset();
+			for (const [peer, bytes] of Object.entries(traffic)) {
+				made.inc({direction: 'in', peer}, bytes.in);
+				made.inc({direction: 'out', peer}, bytes.out);
+			}
+		},
+	});
+}
+
 /** The metrics of an entry for jobs kept in memory. */
 export class DispatcherMetrics {
 	static create(): DispatcherMetrics {
@@ -40,6 +54,11 @@
 		name: 'sniperidge_job_seconds', help: 'Time from a job\'s arrival to its answer.', labelNames: ['route', 'verdict'], buckets, registers: [this.registry],
 	});
 
+	/** Registers the counter of the bytes on links, which is read at each scrape. */
+	registerTraffic(traffic: LinkTraffic): void {
+		countTraffic(this.registry, traffic);
+	}
+
 	/** Registers the gauges, which are read at each scrape. */
 	registerGauges({
 		sink, jobs, linked, open, asOf,
@@ -67,6 +86,11 @@
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 
+	/** Registers the counter of the bytes on links, which is read at each scrape. */
+	registerTraffic(traffic: LinkTraffic): void {
+		countTraffic(this.registry, traffic);
+	}
+
 	/** Registers the gauges, which are read at each scrape. */
 	registerGauges({sink, runs, linked}: {sink: LogSink; runs(): number; linked(): number}): void {
 		gauge(this.registry, 'runs_held', 'Runs that hold room at the worker.', runs);
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -7,6 +7,7 @@
 	Links, splitAddress, type Link, type LinkEndReason, type Receiver,
 } from '../src/ephemeral/link.js';
 import type {Message} from '../src/ephemeral/messages.js';
+import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 
 /** A receiver that keeps what it gets and resolves when its link ends. */
 function keeper(isAtStake = false): {receiver: Receiver; got: Message[]; over: Promise<LinkEndReason>} {
@@ -133,6 +134,31 @@
 	link!.close();
 });
 
+// Guards against a counter that leaves out bytes: those sent before the other side's hello, or those of links that have ended.
+test('link: both sides count the same bytes by the role of the other side, also after the link has ended', async t => {
+	const passive = keeper();
+	const accepting = links(t, passive.receiver);
+	const address = await accepting.listen('127.0.0.1:0');
+	const dialling = links(t, keeper().receiver);
+	const link = await dialling.dial(address);
+	link!.sendHello({
+		kind: 'hello', role: 'entry', node: 'n', life: 'l',
+	});
+	link!.send({kind: 'desired', asOf: 1, text: 'ž'.repeat(1000)});
+	while (passive.got.length < 2) {
+		await systemClock.sleep(10);
+	}
+
+	link!.close();
+	await passive.over;
+	const meters = DispatcherMetrics.create();
+	meters.registerTraffic(accepting.traffic);
+	const {values} = (await meters.registry.getMetricsAsJSON()).find(({name}) => name === 'sniperidge_link_bytes_total') as unknown as {values: Array<{value: number}>};
+	t.true(dialling.traffic.stranger.out > 2000);
+	t.is(values.reduce((sum, {value}) => sum + value, 0), dialling.traffic.stranger.out + dialling.traffic.stranger.in);
+	t.deepEqual([link!.unsentBytes, dialling.unsentBytes], [0, 0]);
+});
+
 test('link: an address where nobody listens cannot be dialled', async t => {
 	t.is(await links(t, keeper().receiver).dial('127.0.0.1:1'), undefined as Link | undefined);
 });
