Links: a job's text goes once to each sidecar (feature specs)

Every start carried the whole text of its job again. Hellos now name features, and where both sides name `specs` the entry sends a text as `spec` before the first start there, names it by `specId` after that, and lists in `forget`, with the next messages of the link, the texts of jobs that have ended. A start that names an unknown text is refused as invalid and its text is sent again. A side that announces no features gets the lines of before: the test of these lines passes on the code before too.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -10,7 +10,10 @@
 import {
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
-import type {SyncMessage, Message, MessageToEntry} from './messages.js';
+import {
+	features, type SyncMessage, type Hello, type Message, type MessageToEntry,
+} from './messages.js';
+import {SentTexts} from './spec-texts.js';
 
 /** The settings that an entry needs to dispatch jobs kept in memory. */
 export type DispatcherSettings = {
@@ -39,8 +42,8 @@
 /** How long changes of the addresses of entries are collected before they are sent to sidecars, in milliseconds: at a start there is one change per entry. */
 const announceDelayMs = 100;
 
-/** A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), and when that arrived. */
-type Sidecar = {link: Link; stamp: number; stampedAt: number};
+/** A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, and the texts sent to it. */
+type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -73,6 +76,8 @@
 	/** Links to other entries, with the version of the desired state that each holds. */
 	private readonly entries = new Map<Link, number>();
 	private readonly book: AddressBook;
+	/** The sidecars that hold a job's text, by job. */
+	private readonly textHolders = new Map<string, Set<Sidecar>>();
 	private readonly waiters = new Map<string, Set<Waiter>>();
 	private desired = {asOf: 0, text: '', digest: ''};
 	private out: readonly string[] = [];
@@ -218,6 +223,8 @@
 			case 'beat':
 			case 'start':
 			case 'stop':
+			case 'spec':
+			case 'forget':
 			case 'want':
 			case 'zones': {
 				break;
@@ -225,6 +232,14 @@
 		}
 	}
 
+	beforeFlush(link: Link): void {
+		const sidecar = link.peer?.role === 'sidecar' ? this.sidecars.get(link.peer.node) : undefined;
+		const ids = sidecar?.link === link ? sidecar.texts.takeForgettable() : [];
+		if (ids.length > 0) {
+			link.send({kind: 'forget', ids});
+		}
+	}
+
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void {
 		this.entries.delete(link);
 		this.book.linkEnded(link);
@@ -319,6 +334,7 @@
 		this.waiters.delete(job);
 		this.log.info({event: 'left', job}, 'caller left, stopping the tasks of its job');
 		this.apply({kind: 'left', job});
+		this.releaseTexts(job);
 	}
 
 	private handleHello(link: Link): void {
@@ -337,7 +353,9 @@
 			old.link.close();
 		}
 
-		this.sidecars.set(peer.node, {link, stamp: 0, stampedAt: this.clock.mono()});
+		this.sidecars.set(peer.node, {
+			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(),
+		});
 		link.send({kind: 'zones', asOf: this.desired.asOf, out: this.out});
 		link.send({kind: 'entries', addresses: this.addresses()});
 	}
@@ -404,6 +422,11 @@
 
 			case 'refused': {
 				this.meters.refusedOrders.inc({why: message.why});
+				if (message.why === 'invalid') {
+					// The sidecar may not hold the text that the start named.
+					sidecar.texts.releaseAll();
+				}
+
 				this.apply({
 					kind: 'refused', place, ref: message.ref, why: message.why,
 				});
@@ -485,6 +508,7 @@
 			case 'answer': {
 				const waiters = this.waiters.get(action.job);
 				this.waiters.delete(action.job);
+				this.releaseTexts(action.job);
 				for (const answer of waiters ?? []) {
 					answer(action.verdict);
 				}
@@ -497,8 +521,19 @@
 	private sendStart({place, ref, job, task}: StartAction): void {
 		const sidecar = this.sidecars.get(place);
 		this.meters.orders.inc({kind: 'start'});
-		sidecar?.link.send({
-			kind: 'start', ref, task: task.name, room: task.resources, spec: job.spec, stamp: sidecar.stamp, age: Math.round(this.clock.mono() - sidecar.stampedAt),
+		if (!sidecar) {
+			return;
+		}
+
+		const specId = this.sendText(sidecar, job);
+		sidecar.link.send({
+			kind: 'start',
+			ref,
+			task: task.name,
+			room: task.resources,
+			...(specId === undefined ? {spec: job.spec} : {specId}),
+			stamp: sidecar.stamp,
+			age: Math.round(this.clock.mono() - sidecar.stampedAt),
 		});
 	}
 
@@ -507,13 +542,48 @@
 		return {kind: 'newest', asOf, digest};
 	}
 
+	/** Sends a job's text to a sidecar that does not hold it. Returns its id, or `undefined` where the text must go with the start. */
+	private sendText(sidecar: Sidecar, job: Job): number | undefined {
+		const {link, texts} = sidecar;
+		if (!link.speaks('specs')) {
+			return undefined;
+		}
+
+		const known = texts.idOf(job.id);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const id = texts.add(job.id, job.spec);
+		if (id !== undefined) {
+			link.send({kind: 'spec', id, text: job.spec});
+			this.textHolders.set(job.id, (this.textHolders.get(job.id) ?? new Set()).add(sidecar));
+		}
+
+		return id;
+	}
+
+	/** Lets the sidecars forget the text of a job that has ended, with the next messages to them. */
+	private releaseTexts(job: string): void {
+		for (const {texts} of this.textHolders.get(job) ?? []) {
+			texts.release(job);
+		}
+
+		this.textHolders.delete(job);
+	}
+
 	private hello(link: Link): void {
 		const {node, incarnation: life} = this.settings;
 		link.sendHello({
-			kind: 'hello', role: 'entry', node, life, address: this.address,
+			kind: 'hello', role: 'entry', node, life, address: this.address, features: this.featuresFor(link),
 		});
 	}
 
+	/** Returns the features to announce: none to a side that has announced none, so that it gets the messages that it knows. */
+	private featuresFor({peer}: Link): Hello['features'] {
+		return this.settings.policy?.links.enabled === 'off' || (peer && !peer.features) ? undefined : features;
+	}
+
 	private addresses(): string[] {
 		return [this.address, ...this.book.linkedAddresses];
 	}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -16,7 +16,8 @@
 import {
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
-import type {Message, MessageToSidecar} from './messages.js';
+import {features, type Message, type MessageToSidecar} from './messages.js';
+import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
 /** The settings that a sidecar needs to drive its worker. */
 export type DriverSettings = {
@@ -73,6 +74,8 @@
 	/** The links whose entry has sent its hello, by the entry's incarnation. */
 	private readonly owners = new Map<string, Link>();
 	private readonly links: Links;
+	/** The texts that each link's entry has sent. */
+	private readonly texts = new Map<Link, HeldTexts>();
 	/** Surplus links, with the time at which their entry was told to send nothing more. */
 	private readonly withdrawnSince = new Map<Link, number>();
 	private fence = 0;
@@ -102,7 +105,11 @@
 		this.book = AddressBook.create({
 			clock: this.clock, links: this.links, redialMs, ownAddress: () => undefined, onLinkOpened(link) {
 				link.sendHello({
-					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.incarnation,
+					kind: 'hello',
+					role: 'sidecar',
+					node: settings.node,
+					life: settings.incarnation,
+					features: settings.policy?.links.enabled === 'off' ? undefined : features,
 				});
 			},
 			subset: {
@@ -179,6 +186,8 @@
 			}
 
 			case 'start':
+			case 'spec':
+			case 'forget':
 			case 'stop':
 			case 'want':
 			case 'zones': {
@@ -208,6 +217,7 @@
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void {
 		this.book.linkEnded(link);
 		this.withdrawnSince.delete(link);
+		this.texts.delete(link);
 		if (!link.peer && !problem) {
 			return;
 		}
@@ -274,10 +284,17 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
-				const request: RunRequest = {
-					owner: ownerOf(link), ref: message.ref, task: message.task, resources: message.room, spec: message.spec, sentAt: message.stamp + message.age,
-				};
-				this.apply({kind: 'request', request, clock: this.workerClock()});
+				this.handleStart(message, link);
+				break;
+			}
+
+			case 'spec': {
+				this.addText(message.id, message.text, link);
+				break;
+			}
+
+			case 'forget': {
+				this.texts.get(link)?.forget(message.ids);
 				break;
 			}
 
@@ -302,6 +319,33 @@
 		}
 	}
 
+	private handleStart({
+		ref, task, room: resources, spec: inlineSpec, specId, stamp, age,
+	}: MessageToSidecar & {kind: 'start'}, link: Link): void {
+		const spec = specId === undefined ? inlineSpec : this.texts.get(link)?.get(specId);
+		if (spec === undefined) {
+			this.meters.refusedRequests.inc({why: 'invalid'});
+			this.log.warn({
+				event: 'text-unknown', entry: link.peer?.node, task, ref, specId, held: this.texts.get(link)?.size ?? 0,
+			}, 'start refused, its text is not known');
+			link.send({kind: 'refused', ref, why: 'invalid'});
+			return;
+		}
+
+		const request: RunRequest = {
+			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age,
+		};
+		this.apply({kind: 'request', request, clock: this.workerClock()});
+	}
+
+	private addText(id: number, text: string, link: Link): void {
+		const texts = this.texts.get(link) ?? HeldTexts.create();
+		this.texts.set(link, texts);
+		if (!texts.add(id, text)) {
+			link.close('malformed', `spec: more than ${textLimitBytes} bytes of texts`);
+		}
+	}
+
 	private updateZones(asOf: number, out: readonly string[]): void {
 		if (asOf < this.zones.asOf) {
 			return;
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -4,7 +4,9 @@
 import {Buffer} from 'node:buffer';
 import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
-import {decodeMessage, type Hello, type Message} from './messages.js';
+import {
+	decodeMessage, type Feature, type Hello, type Message,
+} from './messages.js';
 
 /** How often a side with nothing else to send sends a heartbeat while the link is needed, in milliseconds. */
 const heartbeatMs = 200;
@@ -65,6 +67,8 @@
 	readonly remoteAddress: string;
 
 	private isHelloSent = false;
+	/** The features that this side has announced. */
+	private ownFeatures: readonly string[] = [];
 	private receivedAt: number;
 	private sentAt: number;
 	/** Since when this side has needed the link, and until when the other side may need it. */
@@ -111,10 +115,16 @@
 		return this.hasEnded ? 0 : this.socket.writableLength;
 	}
 
+	/** Whether both sides have announced a feature. */
+	speaks(feature: Feature): boolean {
+		return this.peer?.features?.includes(feature) === true && this.ownFeatures.includes(feature);
+	}
+
 	/** Sends this side's hello, unless it was sent before. */
 	sendHello(hello: Hello): void {
 		if (!this.isHelloSent) {
 			this.isHelloSent = true;
+			this.ownFeatures = hello.features ?? [];
 			this.send(hello);
 		}
 	}
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -9,6 +9,11 @@
 const stamp = z.number();
 const ref = z.int();
 
+/** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
+export type Feature = 'specs';
+/** The features of this version. */
+export const features: readonly Feature[] = ['specs'];
+
 /** The first message on a link in each direction. `life` names the incarnation, and is new each time the process starts. */
 const hello = z.object({
 	kind: z.literal('hello'),
@@ -17,6 +22,8 @@
 	life: z.string().min(1),
 	/** The address on which an entry listens for links, as host:port. */
 	address: z.string().optional(),
+	/** The sender's features, names of later versions included. */
+	features: z.array(z.string()).readonly().optional(),
 });
 
 /** The messages from a sidecar to an entry. */
@@ -42,10 +49,14 @@
 
 /** The messages from an entry to a sidecar. */
 const toSidecar = [
-	/** `age` is the time since the entry received the stamp, in milliseconds. */
+	/** `age` is the time since the entry received the stamp, in milliseconds. `specId` names a text that was sent before, in place of `spec`. */
 	z.object({
-		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string(), stamp, age: z.number(),
-	}),
+		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string().optional(), specId: ref.optional(), stamp, age: z.number(),
+	}).refine(({spec, specId}) => (spec === undefined) !== (specId === undefined), {path: ['spec'], error: 'expected either spec or specId'}),
+	/** The text of a job, for the starts that follow on the link. */
+	z.object({kind: z.literal('spec'), id: ref, text: z.string()}),
+	/** The texts that no start will name any more. */
+	z.object({kind: z.literal('forget'), ids: z.array(ref).readonly()}),
 	/** `hung`: the run should have ended long ago. */
 	z.object({kind: z.literal('stop'), ref, hung: z.boolean()}),
 	/** Requests capacity for a waiting task of this size, which should begin within `dueMs`. */
--- /dev/null
+++ b/test/link-features.test.ts
@@ -0,0 +1,206 @@
+import {
+	createConnection, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import {once} from 'node:events';
+import {createInterface} from 'node:readline';
+import test, {type ExecutionContext} from 'ava';
+import {systemClock} from '../src/adapters/clock.js';
+import {Dispatcher} from '../src/ephemeral/dispatcher.js';
+import {splitAddress} from '../src/ephemeral/link.js';
+import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
+import {HeldTexts, SentTexts} from '../src/ephemeral/spec-texts.js';
+import {
+	createExecutor, createJob, leaseMs, room, silentLog, startDriver, submit, waitUntil,
+} from './ephemeral-cluster.js';
+import {ModelWorker} from './model-worker.js';
+
+type Said = {kind: string} & Record<string, unknown>;
+
+/** A peer that writes lines of JSON and keeps those it gets, without those that hold heartbeats. */
+class LinePeer {
+	readonly lines: string[] = [];
+	closed = false;
+
+	constructor(readonly socket: Socket) {
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			this.closed = true;
+		});
+		createInterface({input: socket}).on('line', line => {
+			if (!line.includes('"kind":"beat"')) {
+				this.lines.push(line);
+			}
+		});
+	}
+
+	get messages(): Said[] {
+		return this.lines.flatMap(line => JSON.parse(line) as Said[]);
+	}
+
+	ofKind(kind: string): Said[] {
+		return this.messages.filter(message => message.kind === kind);
+	}
+
+	send(...messages: unknown[]): void {
+		this.socket.write(`${JSON.stringify(messages)}\n`);
+	}
+}
+
+const entryHello = (features?: readonly string[]) => ({
+	kind: 'hello', role: 'entry', node: 'e', life: 'e-1', address: '127.0.0.1:1', features,
+});
+const sidecarHello = (features?: readonly string[]) => ({
+	kind: 'hello', role: 'sidecar', node: 's', life: 's-1', features,
+});
+const place = {
+	kind: 'place', report: {
+		zone: 'z', pool: 'p', room, others: {cpu: 0, memoryMb: 0, accelerators: 0}, isFailing: false,
+	}, stamp: 5, clear: true,
+};
+const start = {
+	kind: 'start', ref: 1, task: 'j.0', room: {cpu: 4, memoryMb: 1, accelerators: 0}, stamp: 0, age: 0,
+};
+
+/** Connects a peer to an entry as its only sidecar, with room for two tasks. */
+async function sidecarOf(t: ExecutionContext, features?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer}> {
+	const entry = await Dispatcher.create({
+		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
+	}, systemClock, silentLog, DispatcherMetrics.create());
+	const [host, port] = splitAddress(entry.address);
+	const peer = new LinePeer(createConnection({host, port}));
+	t.teardown(() => {
+		entry.close();
+		peer.socket.destroy();
+	});
+	peer.send(sidecarHello(features));
+	peer.send(place);
+	await waitUntil(() => entry.schedule.placeCounts.open === 1);
+	return {entry, peer};
+}
+
+/** Starts a sidecar with a peer as its only entry. */
+async function entryOf(t: ExecutionContext, features?: readonly string[]): Promise<{peer: LinePeer; metrics: DriverMetrics}> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const metrics = DriverMetrics.create();
+	const worker = ModelWorker.create(room, leaseMs);
+	startDriver(t, 's', {
+		seeds: [`127.0.0.1:${(server.address() as AddressInfo).port}`], executor: createExecutor(worker, {resources: room, durationMs: 20, ending: 'done'}), metrics,
+	});
+	const [socket] = await once(server, 'connection') as [Socket];
+	const peer = new LinePeer(socket);
+	t.teardown(() => {
+		server.close();
+		socket.destroy();
+	});
+	peer.send(entryHello(features));
+	await waitUntil(() => peer.ofKind('place').some(({report}) => (report as {hindrance?: string}).hindrance === undefined));
+	return {peer, metrics};
+}
+
+/** Replaces what differs between runs: addresses, times and stamps. */
+const normal = (line: string) => line.replaceAll(/127\.0\.0\.1:\d+/gv, 'ADDRESS').replaceAll(/"(?<key>stamp|age|ranMs)":[\d.]+/gv, '"$<key>":0');
+
+// Guards against a new message or field on a link to an entry or sidecar of an earlier version. The lines were recorded from the code before features.
+test('link features: a sidecar that announces none gets the lines of before', async t => {
+	const {entry, peer} = await sidecarOf(t);
+	const verdict = submit(entry, createJob('j'));
+	await waitUntil(() => peer.ofKind('start').length === 2);
+	peer.send({
+		kind: 'ended', ref: 1, outcome: 'done', ranMs: 5,
+	}, {
+		kind: 'ended', ref: 2, outcome: 'done', ranMs: 5,
+	});
+	t.deepEqual(await verdict, {kind: 'completed'});
+	t.deepEqual(peer.lines.map(line => normal(line)), [
+		'[{"kind":"hello","role":"entry","node":"e","life":"e-1","address":"ADDRESS"},{"kind":"zones","asOf":0,"out":[]},{"kind":"entries","addresses":["ADDRESS"]}]',
+		'[{"kind":"start","ref":1,"task":"j.0","room":{"cpu":4,"memoryMb":1,"accelerators":0},"spec":"text","stamp":0,"age":0},'
+		+ '{"kind":"start","ref":2,"task":"j.1","room":{"cpu":4,"memoryMb":1,"accelerators":0},"spec":"text","stamp":0,"age":0}]',
+	]);
+});
+
+test('link features: an entry that announces none gets the lines of before, but for the features in the hello', async t => {
+	const {peer} = await entryOf(t);
+	peer.send({...start, spec: 'text'});
+	await waitUntil(() => peer.ofKind('ended').length === 1);
+	const lines = peer.lines.map(line => normal(line)).filter(line => !line.startsWith('[{"kind":"room"'));
+	const hello = lines[0]!.replace(/,"features":\[[^\]]+\]/v, '');
+	const roomThen = '{"kind":"room","others":{"cpu":0,"memoryMb":0,"accelerators":0},"stamp":0,"clear":true}]';
+	t.deepEqual([hello, lines.at(-2), lines.at(-1)], [
+		'[{"kind":"hello","role":"sidecar","node":"s","life":"s-1"}]',
+		'[{"kind":"place","report":{"zone":"z","pool":"p","room":{"cpu":10,"memoryMb":100,"accelerators":0},'
+		+ `"others":{"cpu":0,"memoryMb":0,"accelerators":0},"isFailing":false},"stamp":0,"clear":true},${roomThen}`,
+		`[{"kind":"ended","ref":1,"outcome":"done","ranMs":0},${roomThen}`,
+	]);
+});
+
+// Guards against a text that travels with every task, and against texts that a sidecar never forgets.
+test('link features: a text goes once to a sidecar and is forgotten when its job has ended', async t => {
+	const {entry, peer} = await sidecarOf(t, ['specs']);
+	for (const [index, id] of ['one', 'two'].entries()) {
+		const verdict = submit(entry, createJob(id));
+		await waitUntil(() => peer.ofKind('start').length === 2 * (index + 1));
+		peer.send(...peer.ofKind('start').slice(-2).map(({ref}) => ({
+			kind: 'ended', ref, outcome: 'done', ranMs: 5,
+		})));
+		t.deepEqual(await verdict, {kind: 'completed'});
+	}
+
+	t.deepEqual(peer.ofKind('spec'), [{kind: 'spec', id: 1, text: 'text'}, {kind: 'spec', id: 2, text: 'text'}]);
+	t.deepEqual(peer.ofKind('start').map(({spec, specId}) => [spec, specId]), [[undefined, 1], [undefined, 1], [undefined, 2], [undefined, 2]]);
+	t.deepEqual(peer.ofKind('forget'), [{kind: 'forget', ids: [1]}]);
+});
+
+// Guards against a job that is refused until its deadline because the sidecar lost its text.
+test('link features: a text that the sidecar does not hold is sent again', async t => {
+	const {entry, peer} = await sidecarOf(t, ['specs']);
+	const verdict = submit(entry, createJob('j', 1));
+	await waitUntil(() => peer.ofKind('start').length === 1);
+	peer.send({kind: 'refused', ref: 1, why: 'invalid'});
+	await waitUntil(() => peer.ofKind('start').length === 2);
+	t.deepEqual(peer.ofKind('spec').map(({id}) => id), [1, 2]);
+	peer.send({
+		kind: 'ended', ref: 2, outcome: 'done', ranMs: 5,
+	});
+	t.deepEqual(await verdict, {kind: 'completed'});
+});
+
+test('link features: a start that names a text not sent, or forgotten, is refused as invalid, and the others go on', async t => {
+	const {peer, metrics} = await entryOf(t, ['specs']);
+	peer.send({...start, specId: 7}, {kind: 'spec', id: 8, text: 'a'}, {...start, ref: 2, specId: 8}, {kind: 'forget', ids: [8, 9]});
+	peer.send({...start, ref: 3, specId: 8});
+	await waitUntil(() => peer.ofKind('ended').length === 1 && peer.ofKind('refused').length === 2);
+	t.deepEqual(peer.ofKind('refused'), [{kind: 'refused', ref: 1, why: 'invalid'}, {kind: 'refused', ref: 3, why: 'invalid'}]);
+	t.deepEqual((await metrics.refusedRequests.get()).values.map(({labels, value}) => [labels.why, value]), [['invalid', 2]]);
+});
+
+// Guards against a sidecar whose memory an entry fills.
+test('link features: an entry that sends too many texts costs its link', async t => {
+	const {peer, metrics} = await entryOf(t, ['specs']);
+	const text = 'x'.repeat(100_000);
+	for (let id = 0; id < 40; id++) {
+		peer.send({kind: 'spec', id, text});
+	}
+
+	await waitUntil(() => peer.closed);
+	t.deepEqual((await metrics.linksLost.get()).values.map(({labels}) => labels.why), ['malformed']);
+});
+
+test('link features: an entry counts the texts as the sidecar does, until that was told to forget them', t => {
+	const sent = SentTexts.create(1000);
+	const held = HeldTexts.create(1000);
+	const put = (job: string, text: string): boolean => {
+		const id = sent.add(job, text);
+		return id !== undefined && held.add(id, text);
+	};
+
+	t.deepEqual([put('a', 'ž'.repeat(200)), put('b', 'x'.repeat(400)), put('c', 'x'.repeat(400))], [true, true, false]);
+	sent.release('a');
+	t.false(put('c', 'x'.repeat(400)));
+	const ids = sent.takeForgettable();
+	held.forget(ids);
+	t.deepEqual(ids, [1]);
+	t.deepEqual([put('c', 'x'.repeat(400)), sent.idOf('a'), sent.idOf('c'), held.size], [true, undefined, 3, 2]);
+	t.false(held.add(9, 'x'.repeat(400)));
+});
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -42,6 +42,11 @@
 	{
 		kind: 'start', ref: 1, task: 't', room, spec: '', stamp: 1, age: 1,
 	},
+	{kind: 'spec', id: 1, text: 't'},
+	{
+		kind: 'start', ref: 1, task: 't', room, specId: 1, stamp: 1, age: 1,
+	},
+	{kind: 'forget', ids: [1]},
 	{kind: 'stop', ref: 1, hung: false},
 	{kind: 'want', room, dueMs: 5},
 	{kind: 'zones', asOf: 1, out: ['z']},
@@ -74,6 +79,8 @@
 	['a second hello', [hello('sidecar'), hello('entry')]],
 	['a place without room', [hello('sidecar'), place.replace('"room":{"cpu":10,"memoryMb":100,"accelerators":0},"others"', '"room":null,"others"')]],
 	['a hindrance that is none', [hello('sidecar'), place.replace('draining', 'tired')]],
+	['features of another type', ['[{"kind":"hello","role":"entry","node":"liar","life":"l","features":[7]}]']],
+	['a start without a text', [hello('entry'), '[{"kind":"start","ref":1,"task":"t","room":{"cpu":1,"memoryMb":1,"accelerators":0},"stamp":1,"age":1}]']],
 	['a number of another type', [hello('sidecar'), '[{"kind":"ended","ref":"1","outcome":"done","ranMs":5}]']],
 ] as const;
 
@@ -221,7 +228,7 @@
 });
 
 for (const sample of samples) {
-	test(`malformed: a message is read as it was sent: ${sample.kind}`, t => {
+	test(`malformed: a message is read as it was sent: ${sample.kind}${'specId' in sample ? ' of a text sent before' : ''}`, t => {
 		t.deepEqual(decodeMessage(structuredClone(sample)), {kind: 'message', message: sample});
 	});
 }
