Links: frames of MessagePack in place of lines of JSON (feature msgpack)

The field names of JSON made up most of a short message. Messages are checked by the same schemas, and a sidecar's stamps are whole milliseconds there. The limit of a line is now counted in bytes.

--- a/bench/links.ts
+++ b/bench/links.ts
@@ -5,6 +5,7 @@
 import type {Job, Verdict} from '../src/decide/schedule/schedule.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {Driver} from '../src/ephemeral/driver.js';
+import {createMsgpackFrames, jsonLines, type Codec} from '../src/ephemeral/frames.js';
 import {decodeMessage, type Message} from '../src/ephemeral/messages.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import type {
@@ -271,24 +272,37 @@
 		}
 	};
 
-	const lines = lists.map(list => `${JSON.stringify(list)}\n`);
-	return {
-		jsonUs: {
+	const timesOf = (createCodec: () => Codec): Record<string, number> => {
+		const writer = createCodec();
+		const reader = createCodec();
+		const blocks = lists.map(list => writer.encode(list));
+		const contents = blocks.map(block => block.subarray(writer === jsonLines ? 0 : 4));
+		for (const content of contents) {
+			reader.decode(content);
+		}
+
+		return {
 			encode: microseconds(() => {
 				for (const list of lists) {
-					JSON.stringify(list);
+					writer.encode(list);
 				}
 			}),
 			decode: microseconds(() => {
-				for (const line of lines) {
-					JSON.parse(line);
+				for (const content of contents) {
+					reader.decode(content);
 				}
 			}),
-			check: microseconds(() => {
-				for (const list of lists) {
-					check(list);
-				}
-			}),
-		},
+			bytes: Math.round(blocks.reduce((sum, {length}) => sum + length, 0) / messages),
+		};
+	};
+
+	return {
+		json: timesOf(() => jsonLines),
+		msgpack: timesOf(() => createMsgpackFrames()),
+		checkUs: microseconds(() => {
+			for (const list of lists) {
+				check(list);
+			}
+		}),
 	};
 }
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -11,7 +11,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	features, type SyncMessage, type Hello, type Message, type MessageToEntry,
+	features, type SyncMessage, type Hello, type Message, type MessageToEntry, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 
@@ -193,7 +193,7 @@
 		return peer?.role === 'sidecar' && this.schedule.outstandingAt(peer.node) > 0;
 	}
 
-	receive(message: Message, link: Link): void {
+	receive(message: ReceivedMessage, link: Link): void {
 		switch (message.kind) {
 			case 'hello': {
 				this.handleHello(link);
@@ -220,7 +220,6 @@
 				break;
 			}
 
-			case 'beat':
 			case 'start':
 			case 'stop':
 			case 'spec':
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -16,7 +16,9 @@
 import {
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
-import {features, type Message, type MessageToSidecar} from './messages.js';
+import {
+	features, type Message, type MessageToSidecar, type ReceivedMessage,
+} from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
 /** The settings that a sidecar needs to drive its worker. */
@@ -173,7 +175,7 @@
 		this.wake.resolve();
 	}
 
-	receive(message: Message, link: Link): void {
+	receive(message: ReceivedMessage, link: Link): void {
 		if (link.peer?.role !== 'entry') {
 			link.close('malformed', 'only entries send requests');
 			return;
@@ -200,7 +202,6 @@
 				break;
 			}
 
-			case 'beat':
 			case 'place':
 			case 'room':
 			case 'offer':
@@ -245,7 +246,7 @@
 		if (link.peer) {
 			const owner = ownerOf(link);
 			link.send({
-				kind: 'room', others: this.guard.capacityHeldByOthers(owner, this.clock.mono()), stamp: this.workerClock(), clear: this.guard.hasNoAbandonedRuns(owner),
+				kind: 'room', others: this.guard.capacityHeldByOthers(owner, this.clock.mono()), stamp: this.stampFor(link), clear: this.guard.hasNoAbandonedRuns(owner),
 			});
 		}
 	}
@@ -565,6 +566,12 @@
 		return this.clockReading.clock + (this.clock.mono() - this.clockReading.at);
 	}
 
+	/** The worker's clock as a stamp. Rounded down, it is shorter as MessagePack and dates starts earlier at most, which is the safe error. */
+	private stampFor(link: Link): number {
+		const clock = this.workerClock();
+		return link.speaks('msgpack') ? Math.floor(clock) : clock;
+	}
+
 	private reportToAll(): void {
 		for (const link of this.owners.values()) {
 			this.reportPlace(link);
@@ -583,7 +590,7 @@
 				isFailing: this.guard.isFailing,
 				hindrance: this.guard.startRefusal ?? (this.withdrawnSince.has(link) ? 'withdrawn' : undefined),
 			},
-			stamp: this.workerClock(),
+			stamp: this.stampFor(link),
 			clear: this.guard.hasNoAbandonedRuns(ownerOf(link)),
 		});
 	}
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -1,11 +1,12 @@
 import {
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {Buffer} from 'node:buffer';
-import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
 import {
-	decodeMessage, type Feature, type Hello, type Message,
+	BlockReader, createMsgpackFrames, jsonLines, type Codec,
+} from './frames.js';
+import {
+	decodeMessage, type Feature, type Hello, type Message, type ReceivedMessage,
 } from './messages.js';
 
 /** How often a side with nothing else to send sends a heartbeat while the link is needed, in milliseconds. */
@@ -21,8 +22,6 @@
 const connectMs = 500;
 /** The unsent data above which a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
-/** The longest line that is accepted, in characters: a desired state of thousands of routes takes under a tenth of it. */
-const lineLimit = 16_000_000;
 
 /** Why a link ended: `released` if this side no longer needs it, `failed` if one of its messages could not be handled. */
 export type LinkEndReason = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
@@ -32,7 +31,7 @@
 
 /** Handles the messages and the end of links. */
 export type Receiver = {
-	receive(message: Message, link: Link): void;
+	receive(message: ReceivedMessage, link: Link): void;
 	/** Called once, when the link has ended. `problem` describes the fault of a message that ended it. */
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void;
 	/** Called before pending messages are sent, to add one that carries a time stamp or a summary for them. */
@@ -47,7 +46,7 @@
 
 /**
  * Link is an ordered, long-lived connection between two processes of the system. The messages of one turn of the
- * event loop are sent together, as one line of JSON. A link that is silent for `silenceMs` while it is needed ends,
+ * event loop are sent together: as one line of JSON, and once both sides have announced `msgpack`, as one frame. A link that is silent for `silenceMs` while it is needed ends,
  * whether or not the network reports an error; one that is not needed may be silent for `idleSilenceMs`.
  *
  * Calls of the Connect protocol don't fit here: a task's few small messages are batched by turn, and must keep
@@ -77,8 +76,9 @@
 	private pending: Message[] = [];
 	private scheduled = false;
 	private hasEnded = false;
-	private incompleteLine = '';
-	private readonly decoder = new StringDecoder('utf8');
+	private outgoing: Codec = jsonLines;
+	private incoming: Codec = jsonLines;
+	private readonly reader = BlockReader.create();
 
 	private readonly clock: Clock;
 	private readonly receiver: Receiver;
@@ -174,17 +174,28 @@
 		this.receiver.beforeFlush?.(this);
 		this.scheduled = false;
 		const messages = this.pending;
-		const line = Buffer.from(`${JSON.stringify(messages)}\n`);
 		this.pending = [];
 		this.sentAt = this.clock.mono();
-		this.socket.write(line);
-		this.traffic[this.peer?.role ?? 'stranger'].out += line.length;
-		this.receiver.flushed?.(this, messages, line.length);
+		const bytes = this.write(messages);
+		this.receiver.flushed?.(this, messages, bytes);
+		if (this.outgoing === jsonLines && this.speaks('msgpack')) {
+			this.write([{kind: 'codec', name: 'msgpack'}]);
+			this.outgoing = createMsgpackFrames();
+		}
+
 		if (this.socket.writableLength > backlogBytes) {
 			this.end('stuck');
 		}
 	}
 
+	/** Writes messages as one block and returns its length in bytes. */
+	private write(messages: readonly Message[]): number {
+		const block = this.outgoing.encode(messages);
+		this.socket.write(block);
+		this.traffic[this.peer?.role ?? 'stranger'].out += block.length;
+		return block.length;
+	}
+
 	/** Silence before this side needed the link does not count, since the other side then sends heartbeats less often. */
 	private isSilent(now: number): boolean {
 		return this.neededSince === undefined ? now - this.receivedAt > idleSilenceMs : now - Math.max(this.receivedAt, this.neededSince) > silenceMs;
@@ -193,27 +204,19 @@
 	private read(chunk: Uint8Array): void {
 		this.receivedAt = this.clock.mono();
 		this.traffic[this.peer?.role ?? 'stranger'].in += chunk.length;
-		const lines = (this.incompleteLine + this.decoder.write(Buffer.from(chunk))).split('\n');
-		this.incompleteLine = lines.pop()!;
-		if (this.incompleteLine.length > lineLimit) {
-			this.end('malformed', `a line of more than ${lineLimit} characters`);
-			return;
-		}
-
-		for (const line of lines) {
-			this.readLine(line);
-		}
-	}
-
-	private readLine(line: string): void {
-		let values: unknown;
 		try {
-			values = JSON.parse(line);
+			for (const content of this.reader.read(chunk)) {
+				this.readMessages(this.incoming.decode(content));
+				if (this.hasEnded) {
+					return;
+				}
+			}
 		} catch (error) {
 			this.end('malformed', (error as Error).message);
-			return;
 		}
+	}
 
+	private readMessages(values: unknown): void {
 		if (!Array.isArray(values)) {
 			this.end('malformed', 'expected a list of messages');
 			return;
@@ -255,6 +258,11 @@
 			return;
 		}
 
+		if (message.kind === 'codec') {
+			this.switchIncoming(message.name);
+			return;
+		}
+
 		if (message.kind === 'hello') {
 			this.peer = message;
 		}
@@ -267,6 +275,17 @@
 		}
 	}
 
+	/** From the next block on, the other side sends frames. */
+	private switchIncoming(name: string): void {
+		if (name !== 'msgpack' || !this.speaks('msgpack') || this.reader.isBinary) {
+			this.end('malformed', `codec ${name} that is not agreed`);
+			return;
+		}
+
+		this.reader.isBinary = true;
+		this.incoming = createMsgpackFrames();
+	}
+
 	private end(why: LinkEndReason, problem?: string): void {
 		if (this.hasEnded) {
 			return;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -10,9 +10,9 @@
 const ref = z.int();
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
-export type Feature = 'specs';
+export type Feature = 'specs' | 'msgpack';
 /** The features of this version. */
-export const features: readonly Feature[] = ['specs'];
+export const features: readonly Feature[] = ['specs', 'msgpack'];
 
 /** The first message on a link in each direction. `life` names the incarnation, and is new each time the process starts. */
 const hello = z.object({
@@ -82,7 +82,10 @@
 /** A heartbeat. `needed`: the sender needs the link, so the receiver must send heartbeats at the short interval too. */
 const beat = z.object({kind: z.literal('beat'), needed: z.boolean()});
 
-const all = [hello, ...toEntry, ...toSidecar, ...sync, beat] as const;
+/** The last line of JSON of a direction that goes on with another codec. */
+const codec = z.object({kind: z.literal('codec'), name: z.string()});
+
+const all = [hello, ...toEntry, ...toSidecar, ...sync, beat, codec] as const;
 const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
 
 export type Hello = z.infer<typeof hello>;
@@ -91,7 +94,10 @@
 export type SyncMessage = z.infer<typeof sync[number]>;
 
 /** A message on a link. */
-export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | z.infer<typeof beat>;
+export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | z.infer<typeof beat> | z.infer<typeof codec>;
+
+/** A message that a link passes on to its receiver. The others are its own. */
+export type ReceivedMessage = Exclude<Message, {kind: 'beat' | 'codec'}>;
 
 /** The result of decoding a value: a message, the name of an unknown kind that a later version may send, or the fault found. */
 export type DecodeResult
--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -4,8 +4,10 @@
 import {once} from 'node:events';
 import {createInterface} from 'node:readline';
 import test, {type ExecutionContext} from 'ava';
+import fc from 'fast-check';
 import {systemClock} from '../src/adapters/clock.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
+import {BlockReader, createMsgpackFrames, jsonLines} from '../src/ephemeral/frames.js';
 import {splitAddress} from '../src/ephemeral/link.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import {HeldTexts, SentTexts} from '../src/ephemeral/spec-texts.js';
@@ -62,10 +64,11 @@
 };
 
 /** Connects a peer to an entry as its only sidecar, with room for two tasks. */
-async function sidecarOf(t: ExecutionContext, features?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer}> {
+async function sidecarOf(t: ExecutionContext, features?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer; metrics: DispatcherMetrics}> {
+	const metrics = DispatcherMetrics.create();
 	const entry = await Dispatcher.create({
 		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
-	}, systemClock, silentLog, DispatcherMetrics.create());
+	}, systemClock, silentLog, metrics);
 	const [host, port] = splitAddress(entry.address);
 	const peer = new LinePeer(createConnection({host, port}));
 	t.teardown(() => {
@@ -75,7 +78,7 @@
 	peer.send(sidecarHello(features));
 	peer.send(place);
 	await waitUntil(() => entry.schedule.placeCounts.open === 1);
-	return {entry, peer};
+	return {entry, peer, metrics};
 }
 
 /** Starts a sidecar with a peer as its only entry. */
@@ -204,3 +207,96 @@
 	t.deepEqual([put('c', 'x'.repeat(400)), sent.idOf('a'), sent.idOf('c'), held.size], [true, undefined, 3, 2]);
 	t.false(held.add(9, 'x'.repeat(400)));
 });
+
+const codecLine = (name: string) => `[{"kind":"codec","name":"${name}"}]\n`;
+const frame = (...content: number[]) => [0, 0, 0, content.length, ...content];
+
+for (const [title, features, line, bytes] of [
+	['a frame over the limit', ['msgpack'], codecLine('msgpack'), [0xFF, 0xFF, 0xFF, 0xFF]],
+	['an empty frame', ['msgpack'], codecLine('msgpack'), [0, 0, 0, 0]],
+	['a frame that is no MessagePack', ['msgpack'], codecLine('msgpack'), frame(0x92, 0x01)],
+	['a frame with more than a value', ['msgpack'], codecLine('msgpack'), frame(0x90, 0x90)],
+	['a frame of something else than a list', ['msgpack'], codecLine('msgpack'), frame(0x01)],
+	['a frame of a reserved type', ['msgpack'], codecLine('msgpack'), frame(0x91, 0xC1)],
+	['a frame of a message that the schema refuses', ['msgpack'], codecLine('msgpack'), [...createMsgpackFrames().encode([{kind: 'room'}])]],
+	['a line after the switch', ['msgpack'], codecLine('msgpack'), [...new TextEncoder().encode('[{"kind":"offer"}]\n')]],
+	['a switch that was not agreed', ['specs'], codecLine('msgpack'), []],
+	['a switch to an unknown codec', ['msgpack'], codecLine('other'), []],
+	['a second switch', ['msgpack'], codecLine('msgpack'), [...createMsgpackFrames().encode([{kind: 'codec', name: 'msgpack'}])]],
+] as const) {
+	// Guards against a bad frame that ends the process, or that is passed over so that all after it is misread.
+	test(`link features: ${title} costs the link`, async t => {
+		const {entry, peer, metrics} = await sidecarOf(t, features);
+		peer.socket.write(line);
+		peer.socket.write(Uint8Array.from(bytes));
+		await waitUntil(() => peer.closed);
+		t.deepEqual((await metrics.linksLost.get()).values.map(({labels}) => labels.why), ['malformed']);
+		t.is(entry.schedule.placeCounts.linked, 0);
+	});
+}
+
+test('link features: a frame that ends with its link is lost as a whole', async t => {
+	const {entry, peer, metrics} = await sidecarOf(t, ['msgpack']);
+	peer.socket.write(codecLine('msgpack'));
+	const block = createMsgpackFrames().encode([{...place, report: {...place.report, hindrance: 'draining'}}]);
+	peer.socket.end(block.subarray(0, -1));
+	await waitUntil(() => entry.schedule.placeCounts.linked === 0);
+	t.deepEqual((await metrics.linksLost.get()).values.map(({labels}) => labels.why), ['closed']);
+});
+
+// Guards against a side that takes the other's hello for its switch.
+test('link features: a side that announces frames may go on with lines, and gets frames', async t => {
+	const {entry, peer} = await sidecarOf(t, ['msgpack', 'later']);
+	const bytes: number[] = [];
+	peer.socket.on('data', (chunk: Uint8Array) => {
+		bytes.push(...chunk);
+	});
+	const verdict = submit(entry, createJob('j', 1));
+	await waitUntil(() => new TextDecoder().decode(Uint8Array.from(bytes)).includes('start'));
+	peer.send({
+		kind: 'ended', ref: 1, outcome: 'done', ranMs: 5,
+	});
+	t.deepEqual(await verdict, {kind: 'completed'});
+	t.false(new TextDecoder().decode(Uint8Array.from(bytes)).includes('"kind":"start"'));
+});
+
+/** Lists of objects with any fields but `__proto__`, which the library renames and no message has. */
+const anyLists = fc.array(fc.array(fc.dictionary(fc.string(), fc.jsonValue({depthSize: 'small'})), {maxLength: 4}), {maxLength: 100})
+	.filter(lists => !JSON.stringify(lists).includes('__proto__'));
+
+/** Returns lists as they are read from their blocks, so many lines and then frames, that arrive in chunks of some lengths. */
+function readInChunks(lists: readonly unknown[][], lineCount: number, lengths: readonly number[]): unknown[] {
+	const outgoing = createMsgpackFrames();
+	const incoming = createMsgpackFrames();
+	const bytes = Uint8Array.from(lists.flatMap((list, index) => [...(index < lineCount ? jsonLines : outgoing).encode(list)]));
+	const reader = BlockReader.create();
+	reader.isBinary = lineCount === 0;
+	const got: unknown[] = [];
+	for (let from = 0, index = 0; from < bytes.length; index++) {
+		const until = from + lengths[index % lengths.length]!;
+		for (const content of reader.read(bytes.subarray(from, until))) {
+			got.push((reader.isBinary ? incoming : jsonLines).decode(content));
+			reader.isBinary = got.length >= lineCount;
+		}
+
+		from = until;
+	}
+
+	return got;
+}
+
+test('link features: lists of messages are read as they were written, however their bytes are cut', t => {
+	t.notThrows(() => {
+		const lengths = fc.array(fc.integer({min: 1, max: 40}), {minLength: 1});
+		const property = fc.property(anyLists, fc.nat(3), lengths, (lists, lineCount, cuts) => JSON.stringify(readInChunks(lists, lineCount, cuts)) === JSON.stringify(lists));
+		fc.assert(property, {seed: 7, numRuns: 300});
+	});
+});
+
+test('link features: a block over the limit is not collected', t => {
+	for (const isBinary of [false, true]) {
+		const reader = BlockReader.create(100);
+		reader.isBinary = isBinary;
+		t.throws(() => [...reader.read(isBinary ? Uint8Array.from([0, 0, 0, 101]) : new Uint8Array(101))]);
+	}
+});
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -55,6 +55,7 @@
 	{kind: 'fetch'},
 	{kind: 'desired', asOf: 1, text: '[]'},
 	{kind: 'beat', needed: true},
+	{kind: 'codec', name: 'msgpack'},
 ];
 const hello = (role: string) => JSON.stringify([{
 	kind: 'hello', role, node: 'liar', life: 'l',
