Links: a desired state goes in parts that let short messages pass (feature parts)

A desired state of hundreds of KB occupied a slow link for seconds, and stops and heartbeats waited behind it. The next part is written while less than 16 KB are unsent and the other side has taken all but one of those before: the buffers of the operating system hold megabytes, so that the socket's own backlog says little on a slow link. All other messages keep their order, and a desired state whose link ends is lost as a whole. Beside a proxy of 250,000 bytes a second, 20 stops pass a state of some 480 KB and keep their order.

--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -5,8 +5,9 @@
 import {
 	BlockReader, createMsgpackFrames, jsonLines, type Codec,
 } from './frames.js';
+import {IncomingParts, OutgoingParts} from './parts.js';
 import {
-	decodeMessage, type Feature, type Hello, type Message, type ReceivedMessage,
+	decodeMessage, isLinkMessage, type Feature, type Hello, type LinkMessage, type Message, type ReceivedMessage,
 } from './messages.js';
 
 /** How often a side with nothing else to send sends a heartbeat while the link is needed, in milliseconds. */
@@ -23,6 +24,9 @@
 /** The unsent data above which a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
 
+/** While more than this is unsent, no further part of a long message is written, in bytes. */
+const partBacklogBytes = 16_000;
+
 /** Why a link ended: `released` if this side no longer needs it, `failed` if one of its messages could not be handled. */
 export type LinkEndReason = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
@@ -78,6 +82,8 @@
 	private hasEnded = false;
 	private outgoing: Codec = jsonLines;
 	private incoming: Codec = jsonLines;
+	private readonly outgoingParts = OutgoingParts.create();
+	private readonly incomingParts = IncomingParts.create();
 	private readonly reader = BlockReader.create();
 
 	private readonly clock: Clock;
@@ -129,12 +135,17 @@
 		}
 	}
 
-	/** Sends a message, together with the others of this turn of the event loop. */
+	/** Sends a message, together with the others of this turn of the event loop. Messages keep their order, but for a desired state, whose parts let others pass. */
 	send(message: Message): void {
 		if (this.hasEnded) {
 			return;
 		}
 
+		if (message.kind === 'desired' && this.outgoing !== jsonLines && this.speaks('parts') && this.outgoingParts.add(message)) {
+			this.sendParts();
+			return;
+		}
+
 		this.pending.push(message);
 		if (!this.scheduled) {
 			this.scheduled = true;
@@ -151,6 +162,7 @@
 
 	/** Ends the link if it has been silent for too long, or sends a heartbeat if one is due. */
 	checkLiveness(): void {
+		this.sendParts();
 		const now = this.clock.mono();
 		const isNeeded = this.receiver.isNeeded(this);
 		this.neededSince = isNeeded ? this.neededSince ?? now : undefined;
@@ -166,6 +178,17 @@
 		}
 	}
 
+	/** Sends the parts of long messages that may go now. Others follow when these were taken, or at the next check. */
+	private sendParts(): void {
+		if (this.outgoingParts.waitingBytes > backlogBytes) {
+			this.end('stuck');
+		} else if (this.socket.writableLength < partBacklogBytes) {
+			for (const part of this.outgoingParts.take()) {
+				this.send({kind: 'part', ...part});
+			}
+		}
+	}
+
 	private flush(): void {
 		if (this.hasEnded) {
 			return;
@@ -227,46 +250,96 @@
 				return;
 			}
 
-			const reading = decodeMessage(value);
-			switch (reading.kind) {
-				case 'message': {
-					this.take(reading.message);
-					break;
-				}
+			this.readMessage(value);
+		}
+	}
 
-				case 'unknown': {
-					this.unknownCount++;
-					break;
-				}
+	private readMessage(value: unknown): void {
+		const reading = decodeMessage(value);
+		switch (reading.kind) {
+			case 'message': {
+				this.take(reading.message);
+				break;
+			}
 
-				case 'malformed': {
-					this.end('malformed', reading.problem);
-					break;
-				}
+			case 'unknown': {
+				this.unknownCount++;
+				break;
+			}
+
+			case 'malformed': {
+				this.end('malformed', reading.problem);
+				break;
 			}
 		}
 	}
 
 	private take(message: Message): void {
-		if (message.kind === 'beat') {
-			this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
+		// A side that waits for a hello sends heartbeats too.
+		if (message.kind !== 'beat' && (message.kind === 'hello') !== (this.peer === undefined)) {
+			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
 			return;
 		}
 
-		if ((message.kind === 'hello') !== (this.peer === undefined)) {
-			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
+		if (isLinkMessage(message)) {
+			this.takeOwn(message);
 			return;
 		}
 
-		if (message.kind === 'codec') {
-			this.switchIncoming(message.name);
+		this.peer = message.kind === 'hello' ? message : this.peer;
+		this.deliver(message);
+	}
+
+	private takeOwn(message: LinkMessage): void {
+		switch (message.kind) {
+			case 'beat': {
+				this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
+				break;
+			}
+
+			case 'codec': {
+				this.switchIncoming(message.name);
+				break;
+			}
+
+			case 'part': {
+				this.takePart(message);
+				break;
+			}
+
+			case 'partTaken': {
+				if (this.outgoingParts.taken()) {
+					this.sendParts();
+				} else {
+					this.end('malformed', 'partTaken without a part');
+				}
+
+				break;
+			}
+		}
+	}
+
+	private takePart(part: LinkMessage & {kind: 'part'}): void {
+		this.send({kind: 'partTaken'});
+		let value: unknown;
+		try {
+			value = this.incomingParts.add(part);
+		} catch (error) {
+			this.end('malformed', `part: ${(error as Error).message}`);
 			return;
 		}
 
-		if (message.kind === 'hello') {
-			this.peer = message;
+		if (part.last) {
+			const reading = decodeMessage(value);
+			if (reading.kind === 'message' && reading.message.kind === 'desired') {
+				this.deliver(reading.message);
+			} else {
+				this.end('malformed', reading.kind === 'malformed' ? reading.problem : 'part: expected a desired state');
+			}
 		}
+	}
 
+	private deliver(message: ReceivedMessage): void {
 		try {
 			this.receiver.receive(message, this);
 		} catch (error) {
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -10,9 +10,9 @@
 const ref = z.int();
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
-export type Feature = 'specs' | 'msgpack';
+export type Feature = 'specs' | 'msgpack' | 'parts';
 /** The features of this version. */
-export const features: readonly Feature[] = ['specs', 'msgpack'];
+export const features: readonly Feature[] = ['specs', 'msgpack', 'parts'];
 
 /** The first message on a link in each direction. `life` names the incarnation, and is new each time the process starts. */
 const hello = z.object({
@@ -85,7 +85,13 @@
 /** The last line of JSON of a direction that goes on with another codec. */
 const codec = z.object({kind: z.literal('codec'), name: z.string()});
 
-const all = [hello, ...toEntry, ...toSidecar, ...sync, beat, codec] as const;
+/** A part of the JSON text of a long message, in frames only. `last`: the message is whole with it. */
+const part = z.object({kind: z.literal('part'), bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array), last: z.boolean()});
+/** A part has arrived, so that the next may be sent. */
+const partTaken = z.object({kind: z.literal('partTaken')});
+
+const ofLinks = [beat, codec, part, partTaken] as const;
+const all = [hello, ...toEntry, ...toSidecar, ...sync, ...ofLinks] as const;
 const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
 
 export type Hello = z.infer<typeof hello>;
@@ -93,11 +99,19 @@
 export type MessageToSidecar = z.infer<typeof toSidecar[number]>;
 export type SyncMessage = z.infer<typeof sync[number]>;
 
+/** A message that a link handles by itself. */
+export type LinkMessage = z.infer<typeof ofLinks[number]>;
+
+/** Returns whether a message is one that a link handles by itself. */
+export function isLinkMessage(message: Message): message is LinkMessage {
+	return ofLinks.some(({shape}) => shape.kind.value === message.kind);
+}
+
 /** A message on a link. */
-export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | z.infer<typeof beat> | z.infer<typeof codec>;
+export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | LinkMessage;
 
-/** A message that a link passes on to its receiver. The others are its own. */
-export type ReceivedMessage = Exclude<Message, {kind: 'beat' | 'codec'}>;
+/** A message that a link passes on to its receiver. */
+export type ReceivedMessage = Exclude<Message, LinkMessage>;
 
 /** The result of decoding a value: a message, the name of an unknown kind that a later version may send, or the fault found. */
 export type DecodeResult
--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -8,13 +8,17 @@
 import {systemClock} from '../src/adapters/clock.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {BlockReader, createMsgpackFrames, jsonLines} from '../src/ephemeral/frames.js';
-import {splitAddress} from '../src/ephemeral/link.js';
+import {
+	Links, splitAddress, type Link, type LinkEndReason,
+} from '../src/ephemeral/link.js';
+import {features, type ReceivedMessage} from '../src/ephemeral/messages.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import {HeldTexts, SentTexts} from '../src/ephemeral/spec-texts.js';
 import {
 	createExecutor, createJob, leaseMs, room, silentLog, startDriver, submit, waitUntil,
 } from './ephemeral-cluster.js';
 import {ModelWorker} from './model-worker.js';
+import {Proxy} from './proxy.js';
 
 type Said = {kind: string} & Record<string, unknown>;
 
@@ -48,11 +52,11 @@
 	}
 }
 
-const entryHello = (features?: readonly string[]) => ({
-	kind: 'hello', role: 'entry', node: 'e', life: 'e-1', address: '127.0.0.1:1', features,
+const entryHello = (announced?: readonly string[]) => ({
+	kind: 'hello', role: 'entry', node: 'e', life: 'e-1', address: '127.0.0.1:1', features: announced,
 });
-const sidecarHello = (features?: readonly string[]) => ({
-	kind: 'hello', role: 'sidecar', node: 's', life: 's-1', features,
+const sidecarHello = (announced?: readonly string[]) => ({
+	kind: 'hello', role: 'sidecar', node: 's', life: 's-1', features: announced,
 });
 const place = {
 	kind: 'place', report: {
@@ -64,7 +68,7 @@
 };
 
 /** Connects a peer to an entry as its only sidecar, with room for two tasks. */
-async function sidecarOf(t: ExecutionContext, features?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer; metrics: DispatcherMetrics}> {
+async function sidecarOf(t: ExecutionContext, announced?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer; metrics: DispatcherMetrics}> {
 	const metrics = DispatcherMetrics.create();
 	const entry = await Dispatcher.create({
 		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
@@ -75,14 +79,14 @@
 		entry.close();
 		peer.socket.destroy();
 	});
-	peer.send(sidecarHello(features));
+	peer.send(sidecarHello(announced));
 	peer.send(place);
 	await waitUntil(() => entry.schedule.placeCounts.open === 1);
 	return {entry, peer, metrics};
 }
 
 /** Starts a sidecar with a peer as its only entry. */
-async function entryOf(t: ExecutionContext, features?: readonly string[]): Promise<{peer: LinePeer; metrics: DriverMetrics}> {
+async function entryOf(t: ExecutionContext, announced?: readonly string[]): Promise<{peer: LinePeer; metrics: DriverMetrics}> {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -97,7 +101,7 @@
 		server.close();
 		socket.destroy();
 	});
-	peer.send(entryHello(features));
+	peer.send(entryHello(announced));
 	await waitUntil(() => peer.ofKind('place').some(({report}) => (report as {hindrance?: string}).hindrance === undefined));
 	return {peer, metrics};
 }
@@ -211,7 +215,7 @@
 const codecLine = (name: string) => `[{"kind":"codec","name":"${name}"}]\n`;
 const frame = (...content: number[]) => [0, 0, 0, content.length, ...content];
 
-for (const [title, features, line, bytes] of [
+for (const [title, announced, line, bytes] of [
 	['a frame over the limit', ['msgpack'], codecLine('msgpack'), [0xFF, 0xFF, 0xFF, 0xFF]],
 	['an empty frame', ['msgpack'], codecLine('msgpack'), [0, 0, 0, 0]],
 	['a frame that is no MessagePack', ['msgpack'], codecLine('msgpack'), frame(0x92, 0x01)],
@@ -226,7 +230,7 @@
 ] as const) {
 	// Guards against a bad frame that ends the process, or that is passed over so that all after it is misread.
 	test(`link features: ${title} costs the link`, async t => {
-		const {entry, peer, metrics} = await sidecarOf(t, features);
+		const {entry, peer, metrics} = await sidecarOf(t, announced);
 		peer.socket.write(line);
 		peer.socket.write(Uint8Array.from(bytes));
 		await waitUntil(() => peer.closed);
@@ -300,3 +304,78 @@
 		t.throws(() => [...reader.read(isBinary ? Uint8Array.from([0, 0, 0, 101]) : new Uint8Array(101))]);
 	}
 });
+
+/** Opens a link between two processes through a proxy, on which both sides have announced everything and frames are sent. */
+async function throttledLink(t: ExecutionContext): Promise<{link: Link; proxy: Proxy; got: ReceivedMessage[]; ended: Promise<LinkEndReason>}> {
+	const got: ReceivedMessage[] = [];
+	let end!: (why: LinkEndReason) => void;
+	const ended = new Promise<LinkEndReason>(resolve => {
+		end = resolve;
+	});
+	const accepting = Links.create(systemClock, {
+		receive(message, link) {
+			got.push(message);
+			if (message.kind === 'hello') {
+				link.sendHello({...sidecarHello(features), kind: 'hello', role: 'sidecar'});
+			}
+		},
+		linkEnded(_link, why) {
+			end(why);
+		},
+		isNeeded: () => true,
+	});
+	const dialling = Links.create(systemClock, {receive: () => undefined, linkEnded: () => undefined, isNeeded: () => true});
+	const proxy = await Proxy.create(await accepting.listen('127.0.0.1:0'));
+	const link = await dialling.dial(proxy.address);
+	t.teardown(async () => {
+		dialling.close();
+		accepting.close();
+		await proxy.close();
+	});
+	link!.sendHello({...entryHello(features), kind: 'hello', role: 'entry'});
+	await waitUntil(() => link!.speaks('parts'));
+	link!.send({kind: 'fetch'});
+	await waitUntil(() => got.length === 2);
+	proxy.bytesPerSecond = 250_000;
+	return {
+		link: link!, proxy, got, ended,
+	};
+}
+
+// Guards against stops that wait behind a desired state for seconds, and against a link that is given up for silence meanwhile.
+test('link features: on a slow link, stops and heartbeats pass a large desired state, and keep their order', async t => {
+	const {link, got} = await throttledLink(t);
+	const text = 'ž"'.repeat(120_000);
+	link.send({kind: 'desired', asOf: 7, text});
+	for (let ref = 0; ref < 20; ref++) {
+		link.send({kind: 'stop', ref, hung: false});
+		await systemClock.sleep(20);
+	}
+
+	await waitUntil(() => got.some(({kind}) => kind === 'desired'));
+	t.true(link.isOpen);
+	t.deepEqual(got.slice(2), [
+		...Array.from({length: 20}, (_, ref) => ({kind: 'stop' as const, ref, hung: false})), {kind: 'desired', asOf: 7, text},
+	]);
+});
+
+test('link features: a desired state whose link ends before its last part is lost as a whole', async t => {
+	const {link, proxy, got, ended} = await throttledLink(t);
+	link.send({kind: 'desired', asOf: 7, text: 'x'.repeat(200_000)});
+	await waitUntil(() => proxy.bytes > 50_000);
+	proxy.cut();
+	t.is(await ended, 'closed');
+	t.deepEqual(got.map(({kind}) => kind), ['hello', 'fetch']);
+});
+
+for (const [title, message] of [
+	['a part that is no JSON', {kind: 'part', bytes: new Uint8Array(3), last: true}],
+	['parts of another message than a desired state', {kind: 'part', bytes: new TextEncoder().encode('{"kind":"offer"}'), last: true}],
+	['the receipt of a part that was not sent', {kind: 'partTaken'}],
+] as const) {
+	test(`link features: ${title} costs the link`, async t => {
+		const {link, ended} = await throttledLink(t);
+		link.send(message);
+		t.is(await ended, 'malformed');
+	});
+}
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -56,6 +56,8 @@
 	{kind: 'desired', asOf: 1, text: '[]'},
 	{kind: 'beat', needed: true},
 	{kind: 'codec', name: 'msgpack'},
+	{kind: 'part', bytes: new Uint8Array(2), last: true},
+	{kind: 'partTaken'},
 ];
 const hello = (role: string) => JSON.stringify([{
 	kind: 'hello', role, node: 'liar', life: 'l',
