--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -16,7 +16,10 @@
 import {
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
-import type {Message, MessageToSidecar} from './messages.js';
+import {
+	features, type Message, type MessageToSidecar, type ReceivedMessage,
+} from './messages.js';
+import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
 /** The settings that a sidecar needs to drive its worker. */
 export type DriverSettings = {
@@ -66,10 +69,15 @@
 
 	readonly guard = Guard.create();
 
+	/** Called with the messages that were sent together on a link and the bytes that they took. */
+	onFlush?: (messages: readonly Message[], bytes: number) => void;
+
 	private readonly book: AddressBook;
 	/** The links whose entry has sent its hello, by the entry's incarnation. */
 	private readonly owners = new Map<string, Link>();
 	private readonly links: Links;
+	/** The texts that each link's entry has sent. */
+	private readonly texts = new Map<Link, HeldTexts>();
 	/** Surplus links, with the time at which their entry was told to send nothing more. */
 	private readonly withdrawnSince = new Map<Link, number>();
 	private fence = 0;
@@ -95,10 +103,15 @@
 			clock: this.clock, executor: this.executor, log: this.log, metrics: this.meters,
 		} = dependencies);
 		this.links = Links.create(this.clock, this);
+		this.meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
 			clock: this.clock, links: this.links, redialMs, ownAddress: () => undefined, onLinkOpened(link) {
 				link.sendHello({
-					kind: 'hello', role: 'sidecar', node: settings.node, life: settings.incarnation,
+					kind: 'hello',
+					role: 'sidecar',
+					node: settings.node,
+					life: settings.incarnation,
+					features: settings.policy?.links.enabled === 'off' ? undefined : features,
 				});
 			},
 			subset: {
@@ -162,7 +175,7 @@
 		this.wake.resolve();
 	}
 
-	receive(message: Message, link: Link): void {
+	receive(message: ReceivedMessage, link: Link): void {
 		if (link.peer?.role !== 'entry') {
 			link.close('malformed', 'only entries send requests');
 			return;
@@ -175,6 +188,8 @@
 			}
 
 			case 'start':
+			case 'spec':
+			case 'forget':
 			case 'stop':
 			case 'want':
 			case 'zones': {
@@ -187,7 +202,6 @@
 				break;
 			}
 
-			case 'beat':
 			case 'place':
 			case 'room':
 			case 'offer':
@@ -204,6 +218,7 @@
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void {
 		this.book.linkEnded(link);
 		this.withdrawnSince.delete(link);
+		this.texts.delete(link);
 		if (!link.peer && !problem) {
 			return;
 		}
@@ -219,6 +234,10 @@
 		}
 	}
 
+	flushed(_link: Link, messages: readonly Message[], bytes: number): void {
+		this.onFlush?.(messages, bytes);
+	}
+
 	isNeeded({peer}: Link): boolean {
 		return peer !== undefined && this.guard.isNeededBy(ownerOf({peer}));
 	}
@@ -227,7 +246,7 @@
 		if (link.peer) {
 			const owner = ownerOf(link);
 			link.send({
-				kind: 'room', others: this.guard.capacityHeldByOthers(owner, this.clock.mono()), stamp: this.workerClock(), clear: this.guard.hasNoAbandonedRuns(owner),
+				kind: 'room', others: this.guard.capacityHeldByOthers(owner, this.clock.mono()), stamp: this.stampFor(link), clear: this.guard.hasNoAbandonedRuns(owner),
 			});
 		}
 	}
@@ -266,10 +285,17 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
-				const request: RunRequest = {
-					owner: ownerOf(link), ref: message.ref, task: message.task, resources: message.room, spec: message.spec, sentAt: message.stamp + message.age,
-				};
-				this.apply({kind: 'request', request, clock: this.workerClock()});
+				this.handleStart(message, link);
+				break;
+			}
+
+			case 'spec': {
+				this.addText(message.id, message.text, link);
+				break;
+			}
+
+			case 'forget': {
+				this.texts.get(link)?.forget(message.ids);
 				break;
 			}
 
@@ -294,6 +320,33 @@
 		}
 	}
 
+	private handleStart({
+		ref, task, room: resources, spec: inlineSpec, specId, stamp, age,
+	}: MessageToSidecar & {kind: 'start'}, link: Link): void {
+		const spec = specId === undefined ? inlineSpec : this.texts.get(link)?.get(specId);
+		if (spec === undefined) {
+			this.meters.refusedRequests.inc({why: 'invalid'});
+			this.log.warn({
+				event: 'text-unknown', entry: link.peer?.node, task, ref, specId, held: this.texts.get(link)?.size ?? 0,
+			}, 'start refused, its text is not known');
+			link.send({kind: 'refused', ref, why: 'invalid'});
+			return;
+		}
+
+		const request: RunRequest = {
+			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age,
+		};
+		this.apply({kind: 'request', request, clock: this.workerClock()});
+	}
+
+	private addText(id: number, text: string, link: Link): void {
+		const texts = this.texts.get(link) ?? HeldTexts.create();
+		this.texts.set(link, texts);
+		if (!texts.add(id, text)) {
+			link.close('malformed', `spec: more than ${textLimitBytes} bytes of texts`);
+		}
+	}
+
 	private updateZones(asOf: number, out: readonly string[]): void {
 		if (asOf < this.zones.asOf) {
 			return;
@@ -513,6 +566,12 @@
 		return this.clockReading.clock + (this.clock.mono() - this.clockReading.at);
 	}
 
+	/** The worker's clock as a stamp. Rounded down, it is shorter as MessagePack and dates starts earlier at most, which is the safe error. */
+	private stampFor(link: Link): number {
+		const clock = this.workerClock();
+		return link.speaks('msgpack') ? Math.floor(clock) : clock;
+	}
+
 	private reportToAll(): void {
 		for (const link of this.owners.values()) {
 			this.reportPlace(link);
@@ -531,7 +590,7 @@
 				isFailing: this.guard.isFailing,
 				hindrance: this.guard.startRefusal ?? (this.withdrawnSince.has(link) ? 'withdrawn' : undefined),
 			},
-			stamp: this.workerClock(),
+			stamp: this.stampFor(link),
 			clear: this.guard.hasNoAbandonedRuns(ownerOf(link)),
 		});
 	}
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -1,10 +1,14 @@
 import {
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
-import {Buffer} from 'node:buffer';
-import {StringDecoder} from 'node:string_decoder';
 import type {Clock} from '../ports/clock.js';
-import {decodeMessage, type Hello, type Message} from './messages.js';
+import {
+	BlockReader, createMsgpackFrames, jsonLines, type Codec,
+} from './frames.js';
+import {IncomingParts, OutgoingParts} from './parts.js';
+import {
+	decodeMessage, isLinkMessage, type Feature, type Hello, type LinkMessage, type Message, type ReceivedMessage,
+} from './messages.js';
 
 /** How often a side with nothing else to send sends a heartbeat while the link is needed, in milliseconds. */
 const heartbeatMs = 200;
@@ -19,34 +23,42 @@
 const connectMs = 500;
 /** The unsent data above which a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
-/** The longest line that is accepted, in characters: a desired state of thousands of routes takes under a tenth of it. */
-const lineLimit = 16_000_000;
+
+/** While more than this is unsent, no further part of a long message is written, in bytes. */
+const partBacklogBytes = 16_000;
 
 /** Why a link ended: `released` if this side no longer needs it, `failed` if one of its messages could not be handled. */
 export type LinkEndReason = 'closed' | 'released' | 'silent' | 'stuck' | 'malformed' | 'failed';
 
+/** The bytes received and sent on links, by the role of the other side; before its hello it is a stranger. */
+export type LinkTraffic = Record<Hello['role'] | 'stranger', {in: number; out: number}>;
+
 /** Handles the messages and the end of links. */
 export type Receiver = {
-	receive(message: Message, link: Link): void;
+	receive(message: ReceivedMessage, link: Link): void;
 	/** Called once, when the link has ended. `problem` describes the fault of a message that ended it. */
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void;
 	/** Called before pending messages are sent, to add one that carries a time stamp or a summary for them. */
 	beforeFlush?(link: Link): void;
+	/** Called with the messages that were sent together and the bytes that they took. */
+	flushed?(link: Link, messages: readonly Message[], bytes: number): void;
 	/** Returns whether work under way depends on the other side of the link. */
 	isNeeded(link: Link): boolean;
 };
 
+export type LinkDependencies = {clock: Clock; receiver: Receiver; traffic: LinkTraffic; ended(link: Link): void};
+
 /**
  * Link is an ordered, long-lived connection between two processes of the system. The messages of one turn of the
- * event loop are sent together, as one line of JSON. A link that is silent for `silenceMs` while it is needed ends,
+ * event loop are sent together: as one line of JSON, and once both sides have announced `msgpack`, as one frame. A link that is silent for `silenceMs` while it is needed ends,
  * whether or not the network reports an error; one that is not needed may be silent for `idleSilenceMs`.
  *
  * Calls of the Connect protocol don't fit here: a task's few small messages are batched by turn, and must keep
  * their order with the messages that carry the time stamp for them.
  */
 export class Link {
-	static create(socket: Socket, clock: Clock, receiver: Receiver, ended: (link: Link) => void): Link {
-		return new Link(socket, clock, receiver, ended);
+	static create(socket: Socket, dependencies: LinkDependencies): Link {
+		return new Link(socket, dependencies);
 	}
 
 	/** The other side's hello, once it has arrived. No other message is accepted before it. */
@@ -58,6 +70,8 @@
 	readonly remoteAddress: string;
 
 	private isHelloSent = false;
+	/** The features that this side has announced. */
+	private ownFeatures: readonly string[] = [];
 	private receivedAt: number;
 	private sentAt: number;
 	/** Since when this side has needed the link, and until when the other side may need it. */
@@ -66,15 +80,22 @@
 	private pending: Message[] = [];
 	private scheduled = false;
 	private hasEnded = false;
-	private incompleteLine = '';
-	private readonly decoder = new StringDecoder('utf8');
-
-	private constructor(
-		private readonly socket: Socket,
-		private readonly clock: Clock,
-		private readonly receiver: Receiver,
-		private readonly onEnd: (link: Link) => void,
-	) {
+	private outgoing: Codec = jsonLines;
+	private incoming: Codec = jsonLines;
+	private readonly outgoingParts = OutgoingParts.create();
+	private readonly incomingParts = IncomingParts.create();
+	private readonly reader = BlockReader.create();
+
+	private readonly clock: Clock;
+	private readonly receiver: Receiver;
+	private readonly traffic: LinkTraffic;
+	private readonly onEnd: (link: Link) => void;
+
+	private constructor(private readonly socket: Socket, dependencies: LinkDependencies) {
+		({
+			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: this.onEnd,
+		} = dependencies);
+		const {clock} = this;
 		this.remoteAddress = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.receivedAt = clock.mono();
 		this.sentAt = this.receivedAt;
@@ -95,20 +116,36 @@
 		return !this.hasEnded;
 	}
 
+	/** The bytes that the socket has not yet passed to the operating system. */
+	get unsentBytes(): number {
+		return this.hasEnded ? 0 : this.socket.writableLength;
+	}
+
+	/** Whether both sides have announced a feature. */
+	speaks(feature: Feature): boolean {
+		return this.peer?.features?.includes(feature) === true && this.ownFeatures.includes(feature);
+	}
+
 	/** Sends this side's hello, unless it was sent before. */
 	sendHello(hello: Hello): void {
 		if (!this.isHelloSent) {
 			this.isHelloSent = true;
+			this.ownFeatures = hello.features ?? [];
 			this.send(hello);
 		}
 	}
 
-	/** Sends a message, together with the others of this turn of the event loop. */
+	/** Sends a message, together with the others of this turn of the event loop. Messages keep their order, but for a desired state, whose parts let others pass. */
 	send(message: Message): void {
 		if (this.hasEnded) {
 			return;
 		}
 
+		if (message.kind === 'desired' && this.outgoing !== jsonLines && this.speaks('parts') && this.outgoingParts.add(message)) {
+			this.sendParts();
+			return;
+		}
+
 		this.pending.push(message);
 		if (!this.scheduled) {
 			this.scheduled = true;
@@ -125,6 +162,7 @@
 
 	/** Ends the link if it has been silent for too long, or sends a heartbeat if one is due. */
 	checkLiveness(): void {
+		this.sendParts();
 		const now = this.clock.mono();
 		const isNeeded = this.receiver.isNeeded(this);
 		this.neededSince = isNeeded ? this.neededSince ?? now : undefined;
@@ -140,6 +178,17 @@
 		}
 	}
 
+	/** Sends the parts of long messages that may go now. Others follow when these were taken, or at the next check. */
+	private sendParts(): void {
+		if (this.outgoingParts.waitingBytes > backlogBytes) {
+			this.end('stuck');
+		} else if (this.socket.writableLength < partBacklogBytes) {
+			for (const part of this.outgoingParts.take()) {
+				this.send({kind: 'part', ...part});
+			}
+		}
+	}
+
 	private flush(): void {
 		if (this.hasEnded) {
 			return;
@@ -147,15 +196,29 @@
 
 		this.receiver.beforeFlush?.(this);
 		this.scheduled = false;
-		const line = `${JSON.stringify(this.pending)}\n`;
+		const messages = this.pending;
 		this.pending = [];
 		this.sentAt = this.clock.mono();
-		this.socket.write(line);
+		const bytes = this.write(messages);
+		this.receiver.flushed?.(this, messages, bytes);
+		if (this.outgoing === jsonLines && this.speaks('msgpack')) {
+			this.write([{kind: 'codec', name: 'msgpack'}]);
+			this.outgoing = createMsgpackFrames();
+		}
+
 		if (this.socket.writableLength > backlogBytes) {
 			this.end('stuck');
 		}
 	}
 
+	/** Writes messages as one block and returns its length in bytes. */
+	private write(messages: readonly Message[]): number {
+		const block = this.outgoing.encode(messages);
+		this.socket.write(block);
+		this.traffic[this.peer?.role ?? 'stranger'].out += block.length;
+		return block.length;
+	}
+
 	/** Silence before this side needed the link does not count, since the other side then sends heartbeats less often. */
 	private isSilent(now: number): boolean {
 		return this.neededSince === undefined ? now - this.receivedAt > idleSilenceMs : now - Math.max(this.receivedAt, this.neededSince) > silenceMs;
@@ -163,27 +226,20 @@
 
 	private read(chunk: Uint8Array): void {
 		this.receivedAt = this.clock.mono();
-		const lines = (this.incompleteLine + this.decoder.write(Buffer.from(chunk))).split('\n');
-		this.incompleteLine = lines.pop()!;
-		if (this.incompleteLine.length > lineLimit) {
-			this.end('malformed', `a line of more than ${lineLimit} characters`);
-			return;
-		}
-
-		for (const line of lines) {
-			this.readLine(line);
-		}
-	}
-
-	private readLine(line: string): void {
-		let values: unknown;
+		this.traffic[this.peer?.role ?? 'stranger'].in += chunk.length;
 		try {
-			values = JSON.parse(line);
+			for (const content of this.reader.read(chunk)) {
+				this.readMessages(this.incoming.decode(content));
+				if (this.hasEnded) {
+					return;
+				}
+			}
 		} catch (error) {
 			this.end('malformed', (error as Error).message);
-			return;
 		}
+	}
 
+	private readMessages(values: unknown): void {
 		if (!Array.isArray(values)) {
 			this.end('malformed', 'expected a list of messages');
 			return;
@@ -194,41 +250,96 @@
 				return;
 			}
 
-			const reading = decodeMessage(value);
-			switch (reading.kind) {
-				case 'message': {
-					this.take(reading.message);
-					break;
-				}
+			this.readMessage(value);
+		}
+	}
 
-				case 'unknown': {
-					this.unknownCount++;
-					break;
-				}
+	private readMessage(value: unknown): void {
+		const reading = decodeMessage(value);
+		switch (reading.kind) {
+			case 'message': {
+				this.take(reading.message);
+				break;
+			}
 
-				case 'malformed': {
-					this.end('malformed', reading.problem);
-					break;
-				}
+			case 'unknown': {
+				this.unknownCount++;
+				break;
+			}
+
+			case 'malformed': {
+				this.end('malformed', reading.problem);
+				break;
 			}
 		}
 	}
 
 	private take(message: Message): void {
-		if (message.kind === 'beat') {
-			this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
+		// A side that waits for a hello sends heartbeats too.
+		if (message.kind !== 'beat' && (message.kind === 'hello') !== (this.peer === undefined)) {
+			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
 			return;
 		}
 
-		if ((message.kind === 'hello') !== (this.peer === undefined)) {
-			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
+		if (isLinkMessage(message)) {
+			this.takeOwn(message);
 			return;
 		}
 
-		if (message.kind === 'hello') {
-			this.peer = message;
+		this.peer = message.kind === 'hello' ? message : this.peer;
+		this.deliver(message);
+	}
+
+	private takeOwn(message: LinkMessage): void {
+		switch (message.kind) {
+			case 'beat': {
+				this.neededUntil = message.needed ? this.clock.mono() + silenceMs : this.neededUntil;
+				break;
+			}
+
+			case 'codec': {
+				this.switchIncoming(message.name);
+				break;
+			}
+
+			case 'part': {
+				this.takePart(message);
+				break;
+			}
+
+			case 'partTaken': {
+				if (this.outgoingParts.taken()) {
+					this.sendParts();
+				} else {
+					this.end('malformed', 'partTaken without a part');
+				}
+
+				break;
+			}
 		}
+	}
 
+	private takePart(part: LinkMessage & {kind: 'part'}): void {
+		this.send({kind: 'partTaken'});
+		let value: unknown;
+		try {
+			value = this.incomingParts.add(part);
+		} catch (error) {
+			this.end('malformed', `part: ${(error as Error).message}`);
+			return;
+		}
+
+		if (part.last) {
+			const reading = decodeMessage(value);
+			if (reading.kind === 'message' && reading.message.kind === 'desired') {
+				this.deliver(reading.message);
+			} else {
+				this.end('malformed', reading.kind === 'malformed' ? reading.problem : 'part: expected a desired state');
+			}
+		}
+	}
+
+	private deliver(message: ReceivedMessage): void {
 		try {
 			this.receiver.receive(message, this);
 		} catch (error) {
@@ -237,6 +348,17 @@
 		}
 	}
 
+	/** From the next block on, the other side sends frames. */
+	private switchIncoming(name: string): void {
+		if (name !== 'msgpack' || !this.speaks('msgpack') || this.reader.isBinary) {
+			this.end('malformed', `codec ${name} that is not agreed`);
+			return;
+		}
+
+		this.reader.isBinary = true;
+		this.incoming = createMsgpackFrames();
+	}
+
 	private end(why: LinkEndReason, problem?: string): void {
 		if (this.hasEnded) {
 			return;
@@ -255,6 +377,9 @@
 		return new Links(clock, receiver);
 	}
 
+	/** The bytes of all links since the start, ended ones included. */
+	readonly traffic: LinkTraffic = {entry: {in: 0, out: 0}, sidecar: {in: 0, out: 0}, stranger: {in: 0, out: 0}};
+
 	private readonly open = new Set<Link>();
 	private readonly timer: NodeJS.Timeout;
 	private server?: Server;
@@ -267,6 +392,16 @@
 		}, checkMs);
 	}
 
+	/** The bytes that the sockets of all links have not yet passed to the operating system. */
+	get unsentBytes(): number {
+		let sum = 0;
+		for (const link of this.open) {
+			sum += link.unsentBytes;
+		}
+
+		return sum;
+	}
+
 	/** Opens a link to an address, as host:port. Resolves to `undefined` if it cannot be reached within `connectMs`. */
 	async dial(address: string): Promise<Link | undefined> {
 		const [host, port] = splitAddress(address);
@@ -312,8 +447,10 @@
 	}
 
 	private add(socket: Socket): Link {
-		const link = Link.create(socket, this.clock, this.receiver, ended => {
-			this.open.delete(ended);
+		const link = Link.create(socket, {
+			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: ended => {
+				this.open.delete(ended);
+			},
 		});
 		this.open.add(link);
 		return link;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -9,6 +9,11 @@
 const stamp = z.number();
 const ref = z.int();
 
+/** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
+export type Feature = 'specs' | 'msgpack' | 'parts';
+/** The features of this version. */
+export const features: readonly Feature[] = ['specs', 'msgpack', 'parts'];
+
 /** The first message on a link in each direction. `life` names the incarnation, and is new each time the process starts. */
 const hello = z.object({
 	kind: z.literal('hello'),
@@ -17,6 +22,8 @@
 	life: z.string().min(1),
 	/** The address on which an entry listens for links, as host:port. */
 	address: z.string().optional(),
+	/** The sender's features, names of later versions included. */
+	features: z.array(z.string()).readonly().optional(),
 });
 
 /** The messages from a sidecar to an entry. */
@@ -42,10 +49,14 @@
 
 /** The messages from an entry to a sidecar. */
 const toSidecar = [
-	/** `age` is the time since the entry received the stamp, in milliseconds. */
+	/** `age` is the time since the entry received the stamp, in milliseconds. `specId` names a text that was sent before, in place of `spec`. */
 	z.object({
-		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string(), stamp, age: z.number(),
-	}),
+		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string().optional(), specId: ref.optional(), stamp, age: z.number(),
+	}).refine(({spec, specId}) => (spec === undefined) !== (specId === undefined), {path: ['spec'], error: 'expected either spec or specId'}),
+	/** The text of a job, for the starts that follow on the link. */
+	z.object({kind: z.literal('spec'), id: ref, text: z.string()}),
+	/** The texts that no start will name any more. */
+	z.object({kind: z.literal('forget'), ids: z.array(ref).readonly()}),
 	/** `hung`: the run should have ended long ago. */
 	z.object({kind: z.literal('stop'), ref, hung: z.boolean()}),
 	/** Requests capacity for a waiting task of this size, which should begin within `dueMs`. */
@@ -71,7 +82,16 @@
 /** A heartbeat. `needed`: the sender needs the link, so the receiver must send heartbeats at the short interval too. */
 const beat = z.object({kind: z.literal('beat'), needed: z.boolean()});
 
-const all = [hello, ...toEntry, ...toSidecar, ...sync, beat] as const;
+/** The last line of JSON of a direction that goes on with another codec. */
+const codec = z.object({kind: z.literal('codec'), name: z.string()});
+
+/** A part of the JSON text of a long message, in frames only. `last`: the message is whole with it. */
+const part = z.object({kind: z.literal('part'), bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array), last: z.boolean()});
+/** A part has arrived, so that the next may be sent. */
+const partTaken = z.object({kind: z.literal('partTaken')});
+
+const ofLinks = [beat, codec, part, partTaken] as const;
+const all = [hello, ...toEntry, ...toSidecar, ...sync, ...ofLinks] as const;
 const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
 
 export type Hello = z.infer<typeof hello>;
@@ -79,8 +99,19 @@
 export type MessageToSidecar = z.infer<typeof toSidecar[number]>;
 export type SyncMessage = z.infer<typeof sync[number]>;
 
+/** A message that a link handles by itself. */
+export type LinkMessage = z.infer<typeof ofLinks[number]>;
+
+/** Returns whether a message is one that a link handles by itself. */
+export function isLinkMessage(message: Message): message is LinkMessage {
+	return ofLinks.some(({shape}) => shape.kind.value === message.kind);
+}
+
 /** A message on a link. */
-export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | z.infer<typeof beat>;
+export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | LinkMessage;
+
+/** A message that a link passes on to its receiver. */
+export type ReceivedMessage = Exclude<Message, LinkMessage>;
 
 /** The result of decoding a value: a message, the name of an unknown kind that a later version may send, or the fault found. */
 export type DecodeResult
