--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -27,9 +27,15 @@
 	seconds: number;
 	/** Whether sidecars tell entries that all fails at their worker; they do unless it is false. */
 	tellsFailing?: boolean;
-	/** Traffic by the second, times the usual. */
-	traffic(second: number): number;
-	/** The workers that are gone, or slowed by a factor, by the second. */
+	/** The cores of each entry, where its work for each event takes time. */
+	entryCores?: readonly number[];
+	/** The share of tasks that take `longFactor` times as long as their job's others. */
+	longShare?: number;
+	/** The first workers, so many, leave with all that runs there and return, by the second. */
+	leave?: {count: number; from: number; to: number};
+	/** Traffic of a kind by the second, times the usual. */
+	traffic(second: number, route: string): number;
+	/** The workers that are said to be gone, or slowed by a factor, by the second. */
 	gone(second: number): number;
 	slow(second: number): number;
 	/** The first workers, so many by the second, that fail all that they start. */
@@ -50,6 +56,11 @@
 const tickMs = 20;
 const estimateOff = 0.4;
 const unevenness = 0.15;
+const longFactor = 7;
+/** Processor time of an entry for an event, in milliseconds of a core: a job of 3.6 tasks costs some 1.85 in all. */
+const eventCostMs: Readonly<Partial<Record<Event['kind'], number>>> = {
+	submit: 0.9, ended: 0.15, refused: 0.1, room: 0.05, told: 0.1, tick: 0.05, offered: 0.02,
+};
 
 const kinds = (share: number): Kind[] => [
 	{
@@ -114,6 +125,56 @@
 	},
 };
 
+/** The deployments of docs/design/hard-load.md: W with workers of three speeds, V with one speed and tasks that take far longer than declared. */
+const deploymentW = {
+	kinds: kinds(6),
+	entries: 10,
+	entryCores: [0.243, 0.324, 0.5, 0.5, 0.8, 0.8, 1, 1.2, 1.35, 1.35],
+	workers: workers(60, 16_000),
+	taskCpu: 1500,
+	gone: () => 0,
+	slow: () => 1,
+};
+const deploymentV = {
+	kinds: kinds(5.3).map(kind => ({...kind, meanMs: kind.meanMs * 0.85, longestMs: kind.longestMs * 0.85})),
+	entries: 9,
+	entryCores: [0.324, 0.324, 0.324, 0.6, 0.8, 0.8, 1, 1.35, 1.35],
+	workers: Array.from({length: 57}, (_, index) => ({speed: 1, cpu: index % 3 === 2 ? 48_000 : 32_000})),
+	taskCpu: 2900,
+	longShare: 0.03,
+	gone: () => 0,
+	slow: () => 1,
+};
+const during = (from: number, to: number, factor: number) => (second: number) => second >= from && second < to ? factor : 1;
+const hardLoads: Readonly<Record<string, Load>> = {
+	wBurst: {...deploymentW, traffic: during(4, 9, 1.7), seconds: 14},
+	/** A burst of the middle kind while a seventh of the workers is gone: the worst seconds of W. */
+	wLoss: {
+		...deploymentW,
+		traffic: (second, route) => during(3, 9, 1.25)(second) * (route === 'plate' ? during(5, 8, 2.5)(second) : 1),
+		leave: {count: 9, from: 4, to: 9},
+		seconds: 14,
+	},
+	wFlood: {...deploymentW, traffic: during(3, 11, 2.4), seconds: 14},
+	vPeak: {...deploymentV, traffic: during(3, 8, 1.55), seconds: 12},
+	vLoss: {
+		...deploymentV, traffic: during(3, 8, 1.55), leave: {count: 8, from: 4, to: 8}, seconds: 12,
+	},
+	/** The smallest twin: three entries, and a burst of the middle kind. */
+	twin: {
+		kinds: kinds(1),
+		entries: 3,
+		entryCores: [0.24, 0.24, 0.5],
+		workers: workers(11, 16_000),
+		taskCpu: 1600,
+		traffic: (second, route) => route === 'plate' ? during(4, 8, 3)(second) : during(4, 8, 1.3)(second),
+		leave: {count: 2, from: 5, to: 9},
+		gone: () => 0,
+		slow: () => 1,
+		seconds: 20,
+	},
+};
+
 /** Tally is what the callers of one kind of job got. */
 export type Tally = {asked: number; inAim: number; late: number; tooLate: number; refused: number; failed: number; worth: number; heldRefused: number};
 
@@ -147,6 +208,10 @@
 	private readonly guards: Guard[];
 	private readonly running: Array<Map<string, Running>>;
 	private readonly draws = new Map<string, Draw>();
+	/** Until when each entry is busy with earlier events. */
+	private readonly busyUntil: number[];
+	/** When the present incarnation of each worker started. */
+	private readonly births: number[];
 	private serial = 0;
 	private sequence = 0;
 
@@ -154,6 +219,8 @@
 		this.schedules = Array.from({length: load.entries}, () => Schedule.create(policy));
 		this.guards = load.workers.map(() => Guard.create());
 		this.running = load.workers.map(() => new Map<string, Running>());
+		this.busyUntil = this.schedules.map(() => 0);
+		this.births = load.workers.map(() => 1);
 		const entries = this.schedules.map((_, entry) => String(entry));
 		this.linked = load.workers.map((_, index) => rankByRendezvous(`s${index}`, entries).slice(0, load.links).map(Number));
 		for (const {route} of load.kinds) {
@@ -166,15 +233,21 @@
 	/** Plays to the end. */
 	play(): this {
 		for (const [index, guard] of this.guards.entries()) {
-			const {cpu} = this.load.workers[index]!;
-			const worker: Worker = {
-				incarnation: 'w', born: 1, pool: 'p', capacity: {cpu, memoryMb: 1e9, accelerators: 0}, labels: [], draining: false,
-			};
-			guard.step({kind: 'reported', worker}, 0);
+			guard.step({kind: 'reported', worker: this.worker(index)}, 0);
 			this.look(index, []);
 			this.tell(index);
 		}
 
+		const {count, from, to} = this.load.leave ?? {count: 0, from: 0, to: 0};
+		for (let index = 0; index < count; index++) {
+			this.at(from * 1000, () => {
+				this.leave(index);
+			});
+			this.at(to * 1000, () => {
+				this.return(index);
+			});
+		}
+
 		for (const kind of this.load.kinds) {
 			this.arrive(kind);
 		}
@@ -193,6 +266,32 @@
 		return this;
 	}
 
+	private worker(index: number): Worker {
+		return {
+			incarnation: `w${this.births[index]!}`, born: this.births[index]!, pool: 'p', capacity: {cpu: this.load.workers[index]!.cpu, memoryMb: 1e9, accelerators: 0}, labels: [], draining: false,
+		};
+	}
+
+	/** Ends a worker with all that runs there. */
+	private leave(index: number): void {
+		this.running[index]!.clear();
+		this.guard(index, {kind: 'left', incarnation: this.worker(index).incarnation});
+		this.guard(index, {kind: 'lapsed'});
+		for (const entry of this.linked[index]!) {
+			this.report(index, entry);
+		}
+	}
+
+	/** Starts the next incarnation of a worker. */
+	private return(index: number): void {
+		this.births[index]!++;
+		this.guard(index, {kind: 'reported', worker: this.worker(index)});
+		this.look(index, []);
+		for (const entry of this.linked[index]!) {
+			this.report(index, entry);
+		}
+	}
+
 	private at(delay: number, go: () => void): void {
 		this.queue = push(this.queue, this.now + delay, go);
 	}
@@ -206,7 +305,7 @@
 
 	private arrive(kind: Kind): void {
 		const second = this.now / 1000;
-		const rate = kind.perSecond * this.load.traffic(second);
+		const rate = kind.perSecond * this.load.traffic(second, kind.route);
 		this.at(-Math.log(1 - this.random.next()) * 1000 / rate, () => {
 			if (this.now < this.load.seconds * 1000) {
 				this.submit(kind);
@@ -218,7 +317,7 @@
 	private submit(kind: Kind): void {
 		const width = Math.min(kind.widest, Math.max(1, Math.round(kind.width * this.spread(0.4))));
 		const meanMs = Math.min(kind.longestMs, kind.meanMs * this.spread(0.4));
-		const workMs = Array.from({length: width}, () => meanMs * this.spread(unevenness));
+		const workMs = Array.from({length: width}, () => meanMs * this.spread(unevenness) * (this.load.longShare && this.random.next() < this.load.longShare ? longFactor : 1));
 		const estimateMs = meanMs * (1 + (((this.random.next() * 2) - 1) * estimateOff));
 		const cpu = this.load.taskCpu * (0.8 + (this.random.next() * 0.4));
 		const id = `j${++this.serial}`;
@@ -251,7 +350,21 @@
 		return Math.exp((sigma * normal) - (sigma * sigma / 2));
 	}
 
+	/** Passes an event to an entry, which takes it up when it is done with earlier ones. */
 	private step(entry: number, event: Event): void {
+		const cores = this.load.entryCores?.[entry];
+		if (cores === undefined) {
+			this.stepNow(entry, event);
+			return;
+		}
+
+		this.busyUntil[entry] = Math.max(this.now, this.busyUntil[entry]!) + ((eventCostMs[event.kind] ?? 0) / cores);
+		this.at(this.busyUntil[entry] - this.now, () => {
+			this.stepNow(entry, event);
+		});
+	}
+
+	private stepNow(entry: number, event: Event): void {
 		for (const action of this.schedules[entry]!.step(event, this.now)) {
 			this.carryOut(entry, action);
 		}
@@ -387,7 +500,7 @@
 			kind: 'polled',
 			sentAt: this.now - 1,
 			result: {
-				kind: 'seen', clock: this.now, born: 1, running, ended,
+				kind: 'seen', clock: this.now, born: this.births[index]!, running, ended,
 			},
 		});
 	}
@@ -429,7 +542,7 @@
 				room: {cpu: this.load.workers[index]!.cpu, memoryMb: 1e9, accelerators: 0},
 				others: this.others(index, entry),
 				isFailing: this.load.tellsFailing !== false && this.guards[index]!.isFailing,
-				hindrance: index < this.load.gone(this.now / 1000) ? 'absent' : undefined,
+				hindrance: index < this.load.gone(this.now / 1000) ? 'absent' : this.guards[index]!.startRefusal,
 			},
 		});
 	}
@@ -470,7 +583,7 @@
 
 /** Plays loads with a policy over some seeds and prints one JSON line each: worth earned over worth owed, and what callers got. */
 export function comparePlans(names: readonly string[], policy: Partial<Policy>, seeds: readonly number[]): void {
-	const all = {...loads, ...largeLoads};
+	const all = {...loads, ...largeLoads, ...hardLoads};
 	for (const name of names.length > 0 ? names : Object.keys(loads)) {
 		const total = {
 			asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, heldRefused: 0,
