Bench: processor time of a job at an entry, by part

Cause: the cost of a job at an entry was known from deployments alone (1.85 ms), without its parts, so no change could be judged by it.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,9 @@
 			deployment: {type: 'string', default: 'zajednica'},
 			json: {type: 'boolean', default: false},
 			weigh: {type: 'string', default: '{}'},
+			rate: {type: 'string'},
+			before: {type: 'string'},
+			rounds: {type: 'string', default: '1'},
 		},
 	});
 	const [scenario = 'faults'] = positionals;
@@ -23,6 +26,12 @@
 		return;
 	}
 
+	if (scenario === 'entry') {
+		const {measureEntry} = await import('./entry-load.js');
+		await measureEntry(values);
+		return;
+	}
+
 	if (scenario === 'decide') {
 		const {timeDecisions} = await import('./decide.js');
 		timeDecisions([[11, 20], [160, 20], [160, 100], [160, 300], [314, 300]]);
