Estimator: slowness by kind of worker, and high quantiles of run times by route

Cause: a new worker counted as ordinary until its own runs had shown its speed, also where all others of its kind are slow; and nothing showed how long the longest tasks of a route take. Change: DurationEstimator averages the slowness of each kind over the runs of its places and uses it as the prior of each place in place of 1. The optional labels of the place report (kind, rack) are in the schema. Nothing assigns kinds yet, so behaviour is unchanged.

--- a/src/decide/duration-estimator.ts
+++ b/src/decide/duration-estimator.ts
@@ -1,15 +1,25 @@
+import {RatioQuantiles} from './ratio-quantiles.js';
+
 /**
  * DurationEstimator learns run times: of each route the ratio of actual to declared time, and of each place its
  * slowness, the factor by which tasks take longer there than on an ordinary place.
  *
  * A place's slowness is averaged over logarithms of ratios, since single run times differ by more than ten to one: a
- * few long tasks must not make a place look slow.
+ * few long tasks must not make a place look slow. A place of a known kind starts from the slowness that other places
+ * of its kind have shown; its own runs outweigh that after a few.
  */
 export class DurationEstimator {
 	static create(): DurationEstimator {
 		return new DurationEstimator(new Map(), new Map());
 	}
 
+	/** The kind of each place whose kind is known. */
+	private readonly kindByPlace = new Map<string, string>();
+	/** The mean logarithm of the ratio of actual to ordinary time of each kind, in order of last use. */
+	private readonly kinds = new Map<string, Mean>();
+	/** The distribution of the ratio of actual to declared time on an ordinary place of each route, in order of last use. */
+	private readonly ratios = new Map<string, RatioQuantiles>();
+
 	private constructor(
 		private readonly routes: Map<string, RouteTimes>,
 		private readonly places: Map<string, Pace>,
@@ -26,17 +36,48 @@
 		return declaredMs * Math.exp(this.routes.get(route)?.geometricMeanLog ?? 0);
 	}
 
+	/**
+	 * Returns the time that a share of the runs of a route on an ordinary place does not exceed, in milliseconds, from
+	 * the declared time; undefined after too few runs. No more than `maxRatio` times the declared time is returned.
+	 */
+	quantileMs(route: string, declaredMs: number, share: number): number | undefined {
+		const ratio = this.ratios.get(route)?.quantile(share);
+		return ratio === undefined ? undefined : ratio * declaredMs;
+	}
+
 	/** Returns the slowness of a place: as learned here or, where that comes from more runs, as reported by the place's sidecar. */
 	slowness(place: string, reportedPace?: Pace): number {
 		const own = this.places.get(place);
 		const pace = reportedPace && reportedPace.count > (own?.count ?? 0) ? reportedPace : own;
+		const priorLog = this.kindLog(this.kindByPlace.get(place));
 		if (!pace) {
-			return 1;
+			return Math.exp(priorLog);
 		}
 
 		const {slow, fast, count} = pace;
 		const hasChanged = count > minRunsForChange && Math.abs(fast - slow) > changeThreshold;
-		return Math.exp((hasChanged ? fast : slow) * count / (count + placePriorRuns));
+		return Math.exp((((hasChanged ? fast : slow) * count) + (priorLog * placePriorRuns)) / (count + placePriorRuns));
+	}
+
+	/**
+	 * Sets the kind of a place; undefined where it is unknown. Kinds are compared by name, and those of different pools
+	 * must have different names. A place that changes its kind is another machine, so what was learned of it is dropped.
+	 */
+	assignKind(place: string, kind: string | undefined): void {
+		const known = this.kindByPlace.get(place);
+		if (known === kind) {
+			return;
+		}
+
+		if (known !== undefined) {
+			this.places.delete(place);
+		}
+
+		if (kind === undefined) {
+			this.kindByPlace.delete(place);
+		} else {
+			this.kindByPlace.set(place, kind);
+		}
 	}
 
 	/** Learns from one run. Returns itself. */
@@ -54,6 +95,17 @@
 			geometricMeanLog: usualLog + ((Math.log(ordinaryRatio) - usualLog) * weightOfNextRun(times?.mean.count ?? 0, minRouteWeight)),
 		});
 		this.places.set(place, updatePace(this.places.get(place), log - usualLog));
+		this.observeKind(this.kindByPlace.get(place), log - usualLog);
+		this.observeRatio(route, ordinaryRatio);
+		return this;
+	}
+
+	/**
+	 * Learns that a run took at least so long when it was stopped. Only the quantiles use it: without such runs they
+	 * would never show tasks that are longer than the limit at which runs are stopped.
+	 */
+	observeStopped({route, place, ranMs, declaredMs}: Observation): this {
+		this.observeRatio(route, Math.max(ranMs, 1) / declaredMs / this.slowness(place));
 		return this;
 	}
 
@@ -64,6 +116,40 @@
 				this.places.delete(place);
 			}
 		}
+
+		for (const place of this.kindByPlace.keys()) {
+			if (!keep(place)) {
+				this.kindByPlace.delete(place);
+			}
+		}
+	}
+
+	/** Returns the logarithm of the slowness of a kind, 0 where nothing is known of it. */
+	private kindLog(kind: string | undefined): number {
+		const mean = kind === undefined ? undefined : this.kinds.get(kind);
+		return mean ? mean.value * mean.count / (mean.count + kindPriorRuns) : 0;
+	}
+
+	private observeRatio(route: string, ratio: number): void {
+		const ratios = this.ratios.get(route) ?? RatioQuantiles.create();
+		this.ratios.delete(route);
+		this.ratios.set(route, ratios.observe(ratio));
+		if (this.ratios.size > maxRoutes) {
+			this.ratios.delete(this.ratios.keys().next().value!);
+		}
+	}
+
+	private observeKind(kind: string | undefined, log: number): void {
+		if (kind === undefined) {
+			return;
+		}
+
+		const mean = updateMean(this.kinds.get(kind), log, minKindWeight);
+		this.kinds.delete(kind);
+		this.kinds.set(kind, mean);
+		if (this.kinds.size > maxKinds) {
+			this.kinds.delete(this.kinds.keys().next().value!);
+		}
 	}
 }
 
@@ -76,13 +162,20 @@
 type Mean = {value: number; count: number};
 type RouteTimes = {mean: Mean; geometricMeanLog: number};
 
-/** The weights of the priors, as numbers of runs: that a route takes the declared time, and that a place is of ordinary slowness. */
+/** The weights of the priors, as numbers of runs: that a route takes the declared time, that a place is as slow as its kind, and that a kind is of ordinary slowness. */
 const routePriorRuns = 3;
 const placePriorRuns = 2;
+const kindPriorRuns = 3;
 /** The minimum weights of a new run, which make the averages exponential, so that old runs lose influence. */
 const minRouteWeight = 0.01;
 const minSlowWeight = 0.03;
 const minFastWeight = 0.25;
+/** A kind has the runs of many places, so its average may be long; then a single ill place changes it little. */
+const minKindWeight = 0.01;
+/** The number of kinds remembered: the names come from peers, so without a limit they could pile up. */
+const maxKinds = 256;
+/** The number of routes whose distribution is remembered, at some 300 bytes each. */
+const maxRoutes = 2048;
 /** When the fast average is this far from the slow one, in natural logarithms, the place's speed has changed and the fast one is used. */
 const changeThreshold = 1.2;
 const minRunsForChange = 8;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -25,6 +25,8 @@
 		kind: z.literal('place'),
 		report: z.object({
 			zone: z.string(), pool: z.string(), room, others: room, isFailing: z.boolean(), hindrance: hindrance.optional(),
+			/** The worker's kind and rack, by position. */
+			labels: z.array(z.string()).readonly().optional(),
 		}),
 		stamp,
 		clear: z.boolean(),
