Sidecar: the place report carries the worker's kind and rack, and how long a draining worker stays

Cause: entries know nothing of a worker but its capacity, so a new one counts as ordinary, and one that leaves at short notice takes its runs with it. Change: the report to entries has the first two labels of the worker and, where a draining worker states remaining_ms, the time left. It is sent again when the time of leaving moves by more than 50 ms. A remaining_ms out of range is left out, counted and logged once; the drain itself holds. With the section workers off the report is as before. Nothing reads the new fields yet.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -22,8 +22,11 @@
 	born: number;
 	pool: string;
 	capacity: Resources;
+	/** Its kind and its rack, by position; empty where they are unknown. */
 	labels: readonly string[];
 	draining: boolean;
+	/** The least time for which it still stays, in milliseconds from the report; stated by a draining worker that leaves at short notice. */
+	remainingMs?: number;
 };
 
 /** StartRefusal is why a task was not started. It is definite: the request was not and will not be carried out. */
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -9,7 +9,7 @@
 import type {
 	Executor, PollResult, Reply, RunId,
 } from '../ports/executor.js';
-import type {PolicySettings} from '../settings/policy.js';
+import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import {deferred} from '../deferred.js';
 import type {DriverMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
@@ -52,6 +52,10 @@
 const maxPauseFactor = 6;
 /** How often an entry without a link is dialled, in milliseconds. */
 const redialMs = 250;
+/** The number of labels that entries use: the kind and the rack. */
+const reportedLabels = 2;
+/** How far the time at which the worker leaves may move without a new report to the entries, in milliseconds. */
+const leaveToleranceMs = 50;
 /** How long a surplus link stays open after its entry was told to send nothing more, in milliseconds: a request may be 600 old. */
 const closeDelayMs = 1000;
 
@@ -81,6 +85,8 @@
 	private answeredAt = 0;
 	private lostAt = Number.NEGATIVE_INFINITY;
 	private renewedAt = 0;
+	/** When a draining worker leaves at the earliest, on the local clock, if it has said so. */
+	private leavesAt?: number;
 	private wake = deferred<void>();
 	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
 	private closed = false;
@@ -129,9 +135,10 @@
 		}
 
 		this.apply({kind: 'reported', worker});
-		if (newer || before.draining !== worker.draining) {
+		const leaveMoved = this.updateLeave(worker, newer);
+		if (newer || leaveMoved || before.draining !== worker.draining) {
 			this.log.info({
-				event: 'worker', life: worker.incarnation, born: worker.born, draining: worker.draining, room: worker.capacity, fence: this.fence,
+				event: 'worker', life: worker.incarnation, born: worker.born, draining: worker.draining, remainingMs: worker.remainingMs, room: worker.capacity, fence: this.fence,
 			}, newer ? 'worker found' : 'worker changed');
 			this.reportToAll();
 		}
@@ -255,6 +262,15 @@
 		}
 	}
 
+	/** Takes from a report when the worker leaves. Returns whether that has changed. A report that doesn't say leaves an earlier one of the same life in force, as a drain has no way back. */
+	private updateLeave({remainingMs}: Worker, newer: boolean): boolean {
+		const known = newer ? undefined : this.leavesAt;
+		const stated = remainingMs === undefined ? known : this.clock.mono() + remainingMs;
+		const changed = stated !== known && Math.abs((stated ?? 0) - (known ?? Number.NEGATIVE_INFINITY)) > leaveToleranceMs;
+		this.leavesAt = changed ? stated : known;
+		return changed;
+	}
+
 	private handleHello(link: Link): void {
 		const owner = ownerOf(link);
 		this.owners.get(owner)?.close();
@@ -521,6 +537,8 @@
 
 	private reportPlace(link: Link): void {
 		const {worker} = this.guard;
+		const {workers} = this.settings.policy ?? defaultPolicySettings;
+		const isOff = workers.enabled === 'off';
 		link.send({
 			kind: 'place',
 			report: {
@@ -530,6 +548,8 @@
 				others: this.guard.capacityHeldByOthers(ownerOf(link), this.clock.mono()),
 				isFailing: this.guard.isFailing,
 				hindrance: this.guard.startRefusal ?? (this.withdrawnSince.has(link) ? 'withdrawn' : undefined),
+				labels: isOff || !worker || worker.labels.length === 0 ? undefined : worker.labels.slice(0, reportedLabels),
+				remainingMs: isOff || this.leavesAt === undefined ? undefined : Math.max(0, Math.round(this.leavesAt - this.clock.mono())),
 			},
 			stamp: this.workerClock(),
 			clear: this.guard.hasNoAbandonedRuns(ownerOf(link)),
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -27,6 +27,8 @@
 			zone: z.string(), pool: z.string(), room, others: room, isFailing: z.boolean(), hindrance: hindrance.optional(),
 			/** The worker's kind and rack, by position. */
 			labels: z.array(z.string()).readonly().optional(),
+			/** How long a draining worker still stays, in milliseconds. */
+			remainingMs: z.number().optional(),
 		}),
 		stamp,
 		clear: z.boolean(),
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -35,6 +35,7 @@
 	readonly endedRuns = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
+	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
 	readonly storeCalls = counter(this.registry, 'store_calls_total', 'Calls to the platform\'s store by call and result.', ['call', 'result']);
 	readonly jobLatency = new Histogram({
 		name: 'sniperidge_job_seconds', help: 'Time from a job\'s arrival to its answer.', labelNames: ['route', 'verdict'], buckets, registers: [this.registry],
@@ -66,6 +67,7 @@
 	readonly unansweredPolls = counter(this.registry, 'looks_unanswered_total', 'Looks at the worker without an answer.', []);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
+	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
 
 	/** Registers the gauges, which are read at each scrape. */
 	registerGauges({sink, runs, linked}: {sink: LogSink; runs(): number; linked(): number}): void {
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -12,7 +12,7 @@
 import {decodeDesired, type Desired, type Queue} from '../platform/desired.js';
 import {buildFront, queueOf} from '../platform/front.js';
 import {readJob} from '../platform/jobs.js';
-import {decodeReport} from '../platform/registry.js';
+import {decodeReport, type Report} from '../platform/registry.js';
 import {machineSettings} from '../platform/settings.js';
 import {Store} from '../platform/store.js';
 import {decodeLook, decodeReply, openWorker} from '../platform/worker.js';
@@ -66,6 +66,22 @@
 	t.is(typeof decodeReport('i-1', '{'), 'string');
 });
 
+for (const [title, fields, remainingMs, isIgnored] of [
+	['a draining worker says how long it stays', {state: 'draining', remaining_ms: 1900}, 1900, false],
+	['a draining worker doesn\'t say it', {state: 'draining'}, undefined, false],
+	['a worker in service says it', {remaining_ms: 1900}, undefined, false],
+	['a time below 0 is left out, and the drain holds', {state: 'draining', remaining_ms: -1}, undefined, true],
+	['a time of days is left out, and the drain holds', {state: 'draining', remaining_ms: 1e9}, undefined, true],
+	['a time that is no number is left out, and the drain holds', {state: 'draining', remaining_ms: '1900'}, undefined, true],
+] as const) {
+	test(`platform: ${title}`, t => {
+		const report = decodeReport('i-1', JSON.stringify({...beat, ...fields})) as Report;
+		t.is(report.worker.draining, 'state' in fields);
+		t.is(report.worker.remainingMs, remainingMs);
+		t.is(report.ignored !== undefined, isIgnored);
+	});
+}
+
 for (const [title, status, body, reply] of [
 	['an order that was carried out', 200, {clock_ms: 5}, {kind: 'done', clock: 5}],
 	['a fence that is too low', 409, {clock_ms: 5, reason: 'fence'}, {kind: 'refused', reason: 'fence', clock: 5}],
