Schedule: kinds of workers as prior of slowness, and a hang limit that spares long tasks

Cause: a new worker of a slow kind got tasks that it could not end in time until its own runs had shown it, and a task that takes 7 times as long, as 3% do in one deployment, was stopped at 3 times its expected time plus 600 ms and begun again. Change: WorkerKnowledge assigns kinds to the estimator and gives the hang limit: 1.5 times the 99th percentile of the route's ratio of actual to declared time, where that is more. A run stopped at the limit counts for the percentile with the limit, else long tasks would never show; only the first at a place since its last success counts, so that a worker that stands still raises it by one step at most. Switch: section workers; auto is on in pools whose places have reported more than one kind.

--- a/src/decide/schedule/places.ts
+++ b/src/decide/schedule/places.ts
@@ -59,8 +59,8 @@
 		return [...this.byId.values()].filter(place => place.pool === pool && this.isOpen(place));
 	}
 
-	/** Records a full report. */
-	update(id: string, report: PlaceReport, now: number): void {
+	/** Records a full report. Returns the place. */
+	update(id: string, report: PlaceReport, now: number): PlaceState {
 		const known = this.byId.get(id);
 		const place = known ?? {
 			...report, id, linked: true, ownUsage: {cpu: 0, memoryMb: 0, accelerators: 0}, outstandingOrders: 0, linkLostAt: now,
@@ -71,7 +71,9 @@
 			place.ejection = recordReport(place.ejection, report.isFailing, now, this.mayEject(place));
 		}
 
-		Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
+		return Object.assign(place, report, {
+			hindrance: report.hindrance, labels: report.labels, linked: true, notBefore: 0,
+		});
 	}
 
 	/** Records the loss of the link to a place. */
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -12,13 +12,11 @@
 import {
 	usualPolicy, type Action, type Event, type Job, type Policy, type Verdict,
 } from './types.js';
+import {WorkerKnowledge} from './worker-knowledge.js';
 
 export {maxRunAfterLinkLossMs} from './lost-runs.js';
 export * from './types.js';
 
-/** A run counts as hung after this many times its expected time plus this many milliseconds. */
-const hangFactor = 3;
-const hangMs = 600;
 /** How long a place gets no work after it refused an order, in milliseconds, unless it reports its capacity before. */
 const refusalBackoffMs = 15;
 /** How long a task waits that was refused because a run of the same name is still under way, in milliseconds. */
@@ -59,12 +57,14 @@
 	private readonly demand = Demand.create(this.places);
 	private readonly admission: Admission;
 	private readonly placement: Placement;
+	private readonly workers: WorkerKnowledge;
 
 	private constructor(private readonly policy: Policy) {
 		const {places, estimator, jobs} = this;
 		this.admission = Admission.create({
 			policy, places, estimator, jobs,
 		});
+		this.workers = WorkerKnowledge.create(policy, places, estimator);
 		this.placement = Placement.create(policy, places, estimator);
 	}
 
@@ -137,7 +137,7 @@
 
 			case 'told': {
 				this.admission.placeReported(now);
-				this.places.update(event.place, event.report, now);
+				this.workers.placeReported(this.places.update(event.place, event.report, now));
 				this.fillPlace(event.place, now, actions);
 				break;
 			}
@@ -255,6 +255,7 @@
 		}
 
 		this.estimator.prune(place => this.places.get(place) !== undefined);
+		this.workers.prune();
 	}
 
 	/** Requeues the tasks of unknown state at a place, which has confirmed that its earlier runs have ended. */
@@ -379,14 +380,17 @@
 			return;
 		}
 
-		const expected = this.estimator.expectedMs(activeJob.job.route, task.spec.estimateMs) * this.estimator.slowness(task.place);
-		if (now - task.placedAt > (expected * hangFactor) + hangMs) {
-			task.stopSent = true;
-			const place = this.places.get(task.place);
-			if (place) {
-				this.places.recordResult(place, false, now);
-			}
+		const place = this.places.get(task.place);
+		if (!place) {
+			return;
+		}
 
+		const run = {route: activeJob.job.route, task: task.spec, place};
+		const limitMs = this.workers.hangLimitMs(run);
+		if (now - task.placedAt > limitMs) {
+			task.stopSent = true;
+			this.workers.runHung(run, limitMs);
+			this.places.recordResult(place, false, now);
 			actions.push({
 				kind: 'stop', place: task.place, ref: task.ref, hung: true,
 			});
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -33,6 +33,8 @@
 	/** Whether all runs that ended there lately failed, those of other entries included. */
 	isFailing: boolean;
 	hindrance?: StartRefusal;
+	/** The worker's kind and rack, by position. */
+	labels?: readonly string[];
 };
 
 /** Verdict is how a job ends. */
@@ -112,9 +114,11 @@
 	shareLeast: number;
 	/** The safety factor on expected run times wherever a task must end in time: estimates are some 40% off. */
 	margin: number;
+	/** Whether kinds of workers and the spread of run times are taken into account: `auto` where places of one pool report more than one kind. */
+	workers: 'auto' | 'on' | 'off';
 };
 
 /** The policy of production. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2,
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2, workers: 'auto',
 };
--- /dev/null
+++ b/src/decide/schedule/worker-knowledge.ts
@@ -0,0 +1,109 @@
+import type {DurationEstimator} from '../duration-estimator.js';
+import type {Places, PlaceState} from './places.js';
+import type {Policy, TaskSpec} from './types.js';
+
+/** A run counts as hung after this many times its expected time plus this many milliseconds. */
+const hangFactor = 3;
+const hangMs = 600;
+/** The same by the learned times of the route: this many times what `hangShare` of its runs do not exceed, where that is more. */
+const hangTailFactor = 1.5;
+const hangShare = 0.99;
+/** The length of a kind's name that is still told apart; names come from peers. */
+const maxKindLength = 128;
+
+/** RunOfTask is a task of a route at a place. */
+export type RunOfTask = {route: string; task: TaskSpec; place: PlaceState};
+
+/** WorkerKnowledge is what an entry assumes about runs at workers, by their kinds and by what was learned of the route. */
+export class WorkerKnowledge {
+	static create(policy: Policy, places: Places, estimator: DurationEstimator): WorkerKnowledge {
+		return new WorkerKnowledge(policy, places, estimator);
+	}
+
+	/** The pools whose places have reported more than one kind. Once that was seen the pool stays here, so that a loss of workers switches nothing. */
+	private readonly mixedPools = new Set<string>();
+
+	private constructor(
+		private readonly policy: Policy,
+		private readonly places: Places,
+		private readonly estimator: DurationEstimator,
+	) {}
+
+	/** Whether the kinds of workers and the spread of run times are taken into account in a pool. */
+	isOn(pool: string): boolean {
+		switch (this.policy.workers) {
+			case 'on': {
+				return true;
+			}
+
+			case 'off': {
+				return false;
+			}
+
+			case 'auto': {
+				return this.mixedPools.has(pool);
+			}
+		}
+	}
+
+	/** Takes note of the kind of a place that has reported. */
+	placeReported(place: PlaceState): void {
+		const {pool} = place;
+		const pooled = [...this.places.all()].filter(other => other.pool === pool);
+		const wasOn = this.isOn(pool);
+		if (new Set(pooled.map(other => kindOf(other)).filter(kind => kind !== undefined)).size > 1) {
+			this.mixedPools.add(pool);
+		}
+
+		if (this.isOn(pool)) {
+			for (const other of wasOn ? [place] : pooled) {
+				this.estimator.assignKind(other.id, kindOf(other));
+			}
+		}
+	}
+
+	/** Forgets the pools that no place belongs to any more. */
+	prune(): void {
+		const pools = new Set([...this.places.all()].map(({pool}) => pool));
+		for (const pool of this.mixedPools) {
+			if (!pools.has(pool)) {
+				this.mixedPools.delete(pool);
+			}
+		}
+	}
+
+	/** Returns the expected time of a run, in milliseconds. */
+	runMs({route, task, place}: RunOfTask): number {
+		return this.estimator.expectedMs(route, task.estimateMs) * this.estimator.slowness(place.id);
+	}
+
+	/** Returns the time after which a run counts as hung, in milliseconds. Where a route has tasks that are merely long, they are spared. */
+	hangLimitMs(run: RunOfTask): number {
+		const usualLimitMs = (this.runMs(run) * hangFactor) + hangMs;
+		const {route, task, place} = run;
+		if (!this.isOn(place.pool)) {
+			return usualLimitMs;
+		}
+
+		const tailMs = this.estimator.quantileMs(route, task.estimateMs, hangShare) ?? 0;
+		return Math.max(usualLimitMs, tailMs * hangTailFactor * this.estimator.slowness(place.id));
+	}
+
+	/**
+	 * Learns from a run that is stopped because it has reached the limit. Only the first one at a place since its last
+	 * success tells something of the route; where several hang in a row the place stands still.
+	 */
+	runHung({route, task, place}: RunOfTask, limitMs: number): void {
+		if (this.isOn(place.pool) && place.ejection.consecutiveFailures === 0) {
+			this.estimator.observeStopped({
+				route, place: place.id, ranMs: limitMs, declaredMs: Math.max(1, task.estimateMs),
+			});
+		}
+	}
+}
+
+/** Returns the kind of a place, the first of its labels, which is told apart by pool. */
+function kindOf({pool, labels}: PlaceState): string | undefined {
+	const kind = labels?.[0];
+	return kind === undefined || kind === '' || kind.length > maxKindLength ? undefined : `${pool}/${kind}`;
+}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -4,7 +4,7 @@
 	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
 import type {Clock} from '../ports/clock.js';
-import type {PolicySettings} from '../settings/policy.js';
+import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
 import {
@@ -55,7 +55,7 @@
 		return dispatcher;
 	}
 
-	readonly schedule = Schedule.create();
+	readonly schedule: Schedule;
 	/** The address that it listens on, as host:port. */
 	address: string;
 
@@ -89,6 +89,8 @@
 		private readonly log: Logger,
 		private readonly meters: DispatcherMetrics,
 	) {
+		const {workers} = settings.policy ?? defaultPolicySettings;
+		this.schedule = Schedule.create({workers: workers.enabled});
 		this.address = settings.address;
 		this.links = Links.create(clock, this);
 		this.book = AddressBook.create({
--- /dev/null
+++ b/test/worker-knowledge.test.ts
@@ -0,0 +1,160 @@
+import test from 'ava';
+import {
+	Schedule, type Action, type Event, type Job, type PlaceReport, type Policy,
+} from '../src/decide/schedule/schedule.js';
+
+const cpuOnly = (cpu: number) => ({cpu, memoryMb: 1, accelerators: 0});
+const told = (place: string, fields: Partial<PlaceReport> = {}): Event => ({
+	kind: 'told',
+	place,
+	report: {
+		zone: 'z', pool: 'p', room: {cpu: 10, memoryMb: 100, accelerators: 0}, others: cpuOnly(0), isFailing: false, ...fields,
+	},
+});
+const labelled = (place: string, labels: string[], used = 0): Event => told(place, {labels, others: cpuOnly(used)});
+const job = (fields: Partial<Job> = {}, estimateMs = 1000): Job => ({
+	id: 'j', route: 'r', pool: 'p', spec: '', tasks: [{name: `${fields.id ?? 'j'}.0`, resources: cpuOnly(4), estimateMs}], aimMs: 60, stretch: 1.6, attempts: 2, priority: 0, leftMs: 60_000, ...fields,
+});
+const submit = (fields: Partial<Job> = {}, estimateMs = 1000): Event => ({kind: 'submit', job: job(fields, estimateMs)});
+const tick: Event = {kind: 'tick'};
+
+/** Formats an action for comparison. */
+function short(action: Action): string {
+	switch (action.kind) {
+		case 'start': {
+			return `start ${action.task.name} at ${action.place}`;
+		}
+
+		case 'stop': {
+			return `stop ${action.ref} at ${action.place}${action.hung ? ' as hung' : ''}`;
+		}
+
+		case 'want': {
+			return `want ${action.resources.cpu} at ${action.place}`;
+		}
+
+		case 'answer': {
+			return `answer ${action.job} ${action.verdict.kind}`;
+		}
+	}
+}
+
+/** Plays events at their times, and returns the last actions. */
+function play(schedule: Schedule, events: ReadonlyArray<readonly [number, Event]>): string[] {
+	let actions: Action[] = [];
+	for (const [at, event] of events) {
+		actions = schedule.step(event, at);
+	}
+
+	return actions.map(action => short(action));
+}
+
+/** Learns from runs of tasks declared at 1 s at the places, which take so many milliseconds. */
+function learn(schedule: Schedule, places: Readonly<Record<string, number>>, runs = 300): void {
+	for (let run = 0; run < runs; run++) {
+		for (const [place, ranMs] of Object.entries(places)) {
+			schedule.estimator.observe({
+				route: 'r', place, ranMs: ranMs * (0.7 + (0.3 * (run % 3))), declaredMs: 1000,
+			});
+		}
+	}
+}
+
+const twoKinds = [[0, labelled('a', ['slow'])], [0, labelled('b', ['fast'])]] as const;
+/** Two new places, of which the slow one has more room. */
+const newPlaces = [[0, labelled('c', ['slow'])], [0, labelled('d', ['fast'], 4)], [0, labelled('a', ['slow'], 10)], [0, labelled('b', ['fast'], 10)]] as const;
+
+for (const [title, workers, expected] of [
+	['goes to a new worker of a fast kind', 'on', 'start j.0 at d'],
+	['goes there also by default, as the pool has two kinds', 'auto', 'start j.0 at d'],
+	['goes to the worker with the most room where kinds are not taken into account', 'off', 'start j.0 at c'],
+] as const) {
+	test(`kinds: a task with little time ${title}`, t => {
+		const schedule = Schedule.create({workers});
+		play(schedule, twoKinds);
+		learn(schedule, {a: 2700, b: 1000});
+		play(schedule, newPlaces);
+		// The target is about 4.8 s. Twice the run at a fast place (1 s) is in time, and at a slow one (2.7 s) it is not.
+		t.deepEqual(play(schedule, [[0, submit({aimMs: 500})]]), [expected]);
+	});
+}
+
+test('kinds: a pool whose workers are all of one kind is scheduled as before by default', t => {
+	const schedules = (['auto', 'off'] as const).map(workers => Schedule.create({workers}));
+	const [auto, off] = schedules.map(schedule => {
+		play(schedule, [[0, labelled('a', ['slow'])], [0, labelled('b', ['slow'])]]);
+		learn(schedule, {a: 2700, b: 2700});
+		return [schedule.estimator.slowness('a'), schedule.estimator.slowness('new'), ...play(schedule, [[0, labelled('c', ['slow'])], [0, submit()], [4000, tick]])];
+	});
+	t.deepEqual(auto, off);
+});
+
+/** 3% of the runs take 7 times as long. */
+function learnLongRuns(schedule: Schedule): void {
+	for (let run = 0; run < 1000; run++) {
+		schedule.estimator.observe({
+			route: 'r', place: run % 2 === 0 ? 'a' : 'b', ranMs: run % 33 === 0 ? 7000 : 1000, declaredMs: 1000,
+		});
+	}
+}
+
+for (const [title, policy, places, at, expected] of [
+	['a task that takes 7 times as long, as 3% do, is left alone', {workers: 'on'}, [told('a')], 8000, []],
+	['it is left alone by default where a pool has several kinds', {workers: 'auto'}, [labelled('a', ['x']), labelled('b', ['y'], 10)], 8000, []],
+	['it is stopped as before by default where a pool has one kind', {workers: 'auto'}, [told('a')], 8000, ['stop 1 at a as hung']],
+	['it is stopped as before where the switch is off', {workers: 'off'}, [labelled('a', ['x']), labelled('b', ['y'], 10)], 8000, ['stop 1 at a as hung']],
+	['a task that stands still is stopped', {workers: 'on'}, [told('a')], 13_000, ['stop 1 at a as hung']],
+] as Array<[string, Partial<Policy>, Event[], number, string[]]>) {
+	test(`hang limit: ${title}`, t => {
+		const schedule = Schedule.create(policy);
+		play(schedule, places.map(event => [0, event] as const));
+		learnLongRuns(schedule);
+		t.deepEqual(play(schedule, [[0, submit()], [at, tick]]), expected);
+	});
+}
+
+test('hang limit: long tasks that the first limit stops raise it until they can end', t => {
+	const schedule = Schedule.create({workers: 'on'});
+	play(schedule, [[0, told('a')], [0, told('b')]]);
+	let now = 0;
+	let ref = 0;
+	const stopped: number[] = [];
+	const observe = (ranMs: number, index: number): void => {
+		schedule.step(submit({id: `j${index}`}), now);
+		const place = ['a', 'b'].find(id => schedule.outstandingAt(id) > 0)!;
+		ref++;
+		const end = now + ranMs;
+		let hung = false;
+		while (now < end && !hung) {
+			now += 100;
+			hung = schedule.step(tick, now).some(({kind}) => kind === 'stop');
+		}
+
+		if (hung) {
+			stopped.push(index);
+			schedule.step({kind: 'cancel', job: `j${index}`}, now);
+		}
+
+		schedule.step({
+			kind: 'ended', place, ref, outcome: hung ? 'lost' : 'done', ranMs,
+		}, now);
+	};
+
+	for (let index = 0; index < 1000; index++) {
+		observe(index % 33 === 32 ? 7000 : 1000, index);
+	}
+
+	t.true(stopped.length > 0 && Math.max(...stopped) < 500, `stopped: ${stopped.join(' ')}`);
+});
+
+test('hang limit: a worker that stands still does not raise it beyond one step', t => {
+	const schedule = Schedule.create({workers: 'on'});
+	play(schedule, [[0, told('a')], [0, told('b', {others: cpuOnly(10)})]]);
+	learn(schedule, {b: 1000}, 100);
+	play(schedule, [[0, submit({id: 'j1'})], [0, submit({id: 'j2'})]]);
+	// Both runs at the place hang.
+	t.deepEqual(play(schedule, [[20_000, tick]]), ['stop 1 at a as hung', 'stop 2 at a as hung']);
+	// The limit was 3 times the expected second plus 600 ms, and quantiles are rounded up by a tenth.
+	const quantile = schedule.estimator.quantileMs('r', 1000, 0.99)!;
+	t.true(quantile < 3600 * 1.1, `${quantile}`);
+});
