Schedule: a task prefers the rack of its data, and waits for it no longer than the way costs

Cause: a task off the rack of its data takes 3 times as long in one deployment (bounds.far_x of the settings file), and a step that names its rack (data_rack) was refused as not served. Change: TaskSpec.dataRack and Policy.farFactor. The expected time of a run, its hang limit and what is learned from it take the factor into account; among places where a task is in time those on its rack come first. A task that would be late elsewhere waits for room on its rack, asks the places there for it, and starts elsewhere once it has waited for as long as the run takes longer there, once its job would be refused for the wait, or while that run is still worth something. Served where the section workers is on; in auto in pools whose places have reported more than one kind; else refused as before.

--- a/src/decide/schedule/active-job.ts
+++ b/src/decide/schedule/active-job.ts
@@ -16,6 +16,8 @@
 	lastFailedPlace: string;
 	/** Whether its run was ordered to stop because it hung. */
 	stopSent: boolean;
+	/** Until when it waits for room in the rack of its data, once there was room elsewhere only. */
+	rackWaitUntil?: number;
 };
 
 /** ActiveJob is an admitted job with the progress of its tasks and the times that govern it. */
@@ -39,7 +41,20 @@
 	mayHaveRun: boolean;
 };
 
+/** A job is worth something until this many times its target response time. */
+const worthFactor = 3;
+
+/** Returns when a job is worth nothing more: at the limit of its response time, or when its caller stops waiting. */
+export function worthUntil({arrivedAt, objectiveAt, deadline}: ActiveJob): number {
+	return Math.min(deadline, arrivedAt + (worthFactor * (objectiveAt - arrivedAt)));
+}
+
 /** Whether a task of the job may have run or has an order outstanding; such a job is no longer refused. */
 export function hasStarted({mayHaveRun, tasks}: ActiveJob): boolean {
 	return mayHaveRun || tasks.some(({state}) => state !== 'waiting');
 }
+
+/** Whether a task is kept for room in the rack of its data. */
+export function isWaitingForRack({rackWaitUntil}: Task, now: number): boolean {
+	return rackWaitUntil !== undefined && now < rackWaitUntil;
+}
--- a/src/decide/schedule/demand.ts
+++ b/src/decide/schedule/demand.ts
@@ -1,7 +1,8 @@
 import {fits, type Resources} from '../resources.js';
 import type {ActiveJob, Task} from './active-job.js';
-import type {Places} from './places.js';
+import type {Places, PlaceState} from './places.js';
 import type {Action} from './types.js';
+import {rackOf} from './worker-knowledge.js';
 
 /** How many places of a pool may hold a capacity request at a time: enough that one soon has free capacity, few enough to be cheap in pools of hundreds. */
 const maxRequestedPlaces = 16;
@@ -9,6 +10,9 @@
 /** UnmetDemand summarises the tasks of a pool that fitted no place: the minimum of each resource over them, and the most urgent task with its job. */
 export type UnmetDemand = {smallest: Resources; activeJob: ActiveJob; task: Task};
 
+/** RackWaiter is a task that waits for room in the rack of its data, with its job. */
+type RackWaiter = {activeJob: ActiveJob; task: Task};
+
 /** Demand summarises by pool the tasks that have found no capacity since all places were last tried, and requests capacity for them. */
 export class Demand {
 	static create(places: Places): Demand {
@@ -16,6 +20,8 @@
 	}
 
 	private readonly byPool = new Map<string, UnmetDemand>();
+	/** Of each pool, by rack, the most urgent task that waits for room in the rack of its data. */
+	private readonly rackWaiters = new Map<string, Map<string, RackWaiter>>();
 
 	private constructor(private readonly places: Places) {}
 
@@ -27,11 +33,30 @@
 	clear(pool?: string): void {
 		if (pool === undefined) {
 			this.byPool.clear();
+			this.rackWaiters.clear();
 		} else {
 			this.byPool.delete(pool);
+			this.rackWaiters.delete(pool);
+		}
+	}
+
+	/** Records that a task waits for room in the rack of its data. The first one recorded for a rack counts as the most urgent. */
+	addRackWaiter(activeJob: ActiveJob, task: Task): void {
+		const {job: {pool}} = activeJob;
+		const byRack = this.rackWaiters.get(pool) ?? new Map<string, RackWaiter>();
+		this.rackWaiters.set(pool, byRack);
+		if (!byRack.has(task.spec.dataRack!)) {
+			byRack.set(task.spec.dataRack!, {activeJob, task});
 		}
 	}
 
+	/** Whether a task that waits may start at a place with so much free: one that fitted no place, or one whose data is in the rack of the place. */
+	mayFill(place: PlaceState, free: Resources): boolean {
+		const demand = this.byPool.get(place.pool);
+		const waiter = this.rackWaiters.get(place.pool)?.get(rackOf(place) ?? '');
+		return (demand !== undefined && fits(demand.smallest, free)) || (waiter !== undefined && fits(waiter.task.spec.resources, free));
+	}
+
 	/** Records that a task found no capacity. The first one recorded in a pool counts as the most urgent. */
 	add(activeJob: ActiveJob, task: Task): void {
 		const {resources} = task.spec;
@@ -48,22 +73,33 @@
 
 	/** Requests capacity for the most urgent unplaced task of each pool. */
 	requestAll(jobs: ReadonlyMap<string, ActiveJob>, now: number, actions: Action[]): void {
-		for (const pool of this.byPool.keys()) {
+		for (const pool of new Set([...this.byPool.keys(), ...this.rackWaiters.keys()])) {
 			this.request(pool, jobs, now, actions);
 		}
 	}
 
-	/** Sends capacity requests for the most urgent unplaced task of a pool to its places. */
+	/** Sends capacity requests for the most urgent unplaced task of a pool to its places, and for the most urgent that waits for each rack to the places there. */
 	request(pool: string, jobs: ReadonlyMap<string, ActiveJob>, now: number, actions: Action[]): void {
 		const demand = this.byPool.get(pool);
-		if (demand?.task.state !== 'waiting' || !jobs.has(demand.activeJob.job.id)) {
+		if (demand) {
+			this.requestFor(demand, jobs, now, actions);
+		}
+
+		for (const [rack, waiter] of this.rackWaiters.get(pool) ?? []) {
+			this.requestFor({...waiter, rack}, jobs, now, actions);
+		}
+	}
+
+	private requestFor({activeJob, task, rack}: RackWaiter & {rack?: string}, jobs: ReadonlyMap<string, ActiveJob>, now: number, actions: Action[]): void {
+		const {job, latestStartAt} = activeJob;
+		if (task.state !== 'waiting' || !jobs.has(job.id)) {
 			return;
 		}
 
-		const {resources} = demand.task.spec;
+		const {resources} = task.spec;
 		let asked = 0;
 		for (const place of this.places.all()) {
-			if (place.pool !== pool || !this.places.isOpen(place) || !fits(resources, place.room)) {
+			if (place.pool !== job.pool || !this.places.isOpen(place) || !fits(resources, place.room) || (rack !== undefined && rackOf(place) !== rack)) {
 				continue;
 			}
 
@@ -74,7 +110,7 @@
 			if (!place.capacityRequested) {
 				place.capacityRequested = true;
 				actions.push({
-					kind: 'want', place: place.id, resources, dueMs: Math.round(demand.activeJob.latestStartAt - now),
+					kind: 'want', place: place.id, resources, dueMs: Math.round(latestStartAt - now),
 				});
 			}
 		}
--- a/src/decide/schedule/placement.ts
+++ b/src/decide/schedule/placement.ts
@@ -1,8 +1,11 @@
 import type {DurationEstimator} from '../duration-estimator.js';
 import {fits} from '../resources.js';
-import type {ActiveJob, Task} from './active-job.js';
+import {
+	hasStarted, isWaitingForRack, worthUntil, type ActiveJob, type Task,
+} from './active-job.js';
 import {freeCapacity, type Places, type PlaceState} from './places.js';
 import type {Policy} from './types.js';
+import type {WorkerKnowledge} from './worker-knowledge.js';
 
 /** Slowness is compared in steps of a fifth of the expected time, so that places of nearly the same speed tie and the one with more free capacity wins. */
 const slownessSteps = 5;
@@ -11,28 +14,29 @@
 /** The overhead of a task beyond its run, in milliseconds: network round trip and start. */
 const overheadMs = 10;
 
+/** PlacementInputs is what placement looks at: the policy, the places, learned run times and what is known of workers. */
+export type PlacementInputs = {policy: Policy; places: Places; estimator: DurationEstimator; workers: WorkerKnowledge};
+
 /** Placement chooses the place of a task. */
 export class Placement {
-	static create(policy: Policy, places: Places, estimator: DurationEstimator): Placement {
-		return new Placement(policy, places, estimator);
+	static create(inputs: PlacementInputs): Placement {
+		return new Placement(inputs);
 	}
 
-	private constructor(
-		private readonly policy: Policy,
-		private readonly places: Places,
-		private readonly estimator: DurationEstimator,
-	) {}
+	private constructor(private readonly inputs: PlacementInputs) {}
 
 	/**
 	 * Chooses among the places with enough free capacity, or `only` if that is given and has it. Of those where the
 	 * task should end in time, it takes the one with the largest free share, which spreads load and keeps entries that
 	 * see the same places from often choosing the same one. Where the task would end in time at none, it takes the fastest.
+	 * Off the rack of its data a task uses a place for longer, so it goes there only if there is no such place on that rack.
 	 */
 	choose({job, objectiveAt}: ActiveJob, task: Task, now: number, only?: PlaceState): PlaceState | undefined {
-		const usualMs = this.estimator.expectedMs(job.route, task.spec.estimateMs);
+		const {policy, places, estimator, workers} = this.inputs;
+		const usualMs = estimator.expectedMs(job.route, task.spec.estimateMs);
 		let best: {place: PlaceState; late: number; cost: number} | undefined;
-		for (const place of only ? [only] : this.places.all()) {
-			if (place.pool !== job.pool || !this.places.mayReceive(place, now)) {
+		for (const place of only ? [only] : places.all()) {
+			if (place.pool !== job.pool || !places.mayReceive(place, now)) {
 				continue;
 			}
 
@@ -41,12 +45,12 @@
 				continue;
 			}
 
-			const runMs = usualMs * this.estimator.slowness(place.id);
+			const runMs = workers.runMs({route: job.route, task: task.spec, place});
 			const avoided = place.id === task.lastFailedPlace;
 			const freeShare = free.cpu / place.room.cpu;
-			const late = this.policy.spread && !avoided && now + (runMs * this.policy.margin) + overheadMs <= objectiveAt ? 0 : 1;
+			const late = policy.spread && !avoided && now + (runMs * policy.margin) + overheadMs <= objectiveAt ? 0 : 1;
 			const slowness = Math.round(runMs * slownessSteps / usualMs) * (avoided ? failedPlaceFactor : 1);
-			const cost = late === 0 ? -freeShare : slowness - (freeShare / 10);
+			const cost = late === 0 ? Number(workers.isFar(task.spec, place)) - freeShare : slowness - (freeShare / 10);
 			if (!best || late < best.late || (late === best.late && cost < best.cost)) {
 				best = {place, late, cost};
 			}
@@ -54,4 +58,26 @@
 
 		return best?.place;
 	}
+
+	/**
+	 * Whether a task waits for room in the rack of its data instead of starting at a place chosen elsewhere, where it
+	 * would not end in time. It waits for no longer than the run takes longer there, and only while that run can still be
+	 * of worth and its job is not refused for the wait.
+	 */
+	waitsForRack(activeJob: ActiveJob, task: Task, place: PlaceState, now: number): boolean {
+		const {policy, workers} = this.inputs;
+		const {job, objectiveAt, refuseAt} = activeJob;
+		const farMs = workers.runMs({route: job.route, task: task.spec, place});
+		if (!workers.isFar(task.spec, place) || now + (farMs * policy.margin) + overheadMs <= objectiveAt) {
+			return false;
+		}
+
+		if (task.rackWaitUntil === undefined) {
+			const nearMs = workers.nearRunMs(job.route, job.pool, task.spec);
+			const latest = Math.min(worthUntil(activeJob) - farMs - overheadMs, hasStarted(activeJob) ? Number.POSITIVE_INFINITY : refuseAt);
+			task.rackWaitUntil = Math.min(now + farMs - nearMs, latest);
+		}
+
+		return isWaitingForRack(task, now);
+	}
 }
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -1,7 +1,9 @@
 import {DurationEstimator} from '../duration-estimator.js';
 import type {Outcome, StartRefusal} from '../guard.js';
 import {fits} from '../resources.js';
-import {hasStarted, type ActiveJob, type Task} from './active-job.js';
+import {
+	hasStarted, isWaitingForRack, type ActiveJob, type Task,
+} from './active-job.js';
 import {Admission} from './admission.js';
 import {Demand} from './demand.js';
 import {LostRuns, maxRunAfterLinkLossMs} from './lost-runs.js';
@@ -65,7 +67,9 @@
 			policy, places, estimator, jobs,
 		});
 		this.workers = WorkerKnowledge.create(policy, places, estimator);
-		this.placement = Placement.create(policy, places, estimator);
+		this.placement = Placement.create({
+			policy, places, estimator, workers: this.workers,
+		});
 	}
 
 	get jobCount(): number {
@@ -107,6 +111,11 @@
 		return this.orders.get(ref)?.task.spec.name;
 	}
 
+	/** Whether jobs of a pool may name the rack of their data. */
+	servesDataRack(pool: string): boolean {
+		return this.workers.isOn(pool);
+	}
+
 	/** When the next job is due to be refused unless it starts; infinite when there is none. */
 	get nextRefusalAt(): number {
 		return this.admission.nextRefusalAt;
@@ -305,10 +314,8 @@
 			this.places.recordResult(place, outcome === 'done', now);
 		}
 
-		if (outcome === 'done') {
-			this.estimator.observe({
-				route: activeJob.job.route, place: id, ranMs, declaredMs: Math.max(1, task.spec.estimateMs),
-			});
+		if (place && outcome === 'done') {
+			this.workers.runDone({route: activeJob.job.route, task: task.spec, place}, ranMs);
 		}
 
 		if (task.ref !== ref || task.state !== 'placed' || this.jobs.get(activeJob.job.id) !== activeJob) {
@@ -356,7 +363,7 @@
 				continue;
 			}
 
-			if (now >= activeJob.refuseAt && !hasStarted(activeJob)) {
+			if (now >= activeJob.refuseAt && !hasStarted(activeJob) && !this.placeInsteadOfRack(activeJob, now, actions)) {
 				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, this.placeCounts.open === 0 ? 'no-place' : 'overloaded', now), now, actions);
 				continue;
 			}
@@ -410,6 +417,16 @@
 		this.demand.requestAll(this.jobs, now, actions);
 	}
 
+	/** Places the tasks of a job that is due to be refused and has waited for the rack of its data at other places. Returns whether one was placed. */
+	private placeInsteadOfRack(activeJob: ActiveJob, now: number, actions: Action[]): boolean {
+		if (activeJob.tasks.every(({rackWaitUntil}) => rackWaitUntil === undefined)) {
+			return false;
+		}
+
+		this.placeTasks(activeJob, now, actions);
+		return hasStarted(activeJob);
+	}
+
 	/** Places the requeued tasks of one job. All other waiting tasks have been tried already. */
 	private placeJob(activeJob: ActiveJob, now: number, actions: Action[]): void {
 		const task = this.placeTasks(activeJob, now, actions);
@@ -422,12 +439,11 @@
 	/** Places waiting tasks at one place whose state has changed. They have found no capacity elsewhere, so no other place is tried. */
 	private fillPlace(id: string, now: number, actions: Action[]): void {
 		const place = this.places.get(id);
-		const demand = place && this.demand.get(place.pool);
-		if (!demand || !this.places.mayReceive(place, now)) {
+		if (!place || !this.places.mayReceive(place, now)) {
 			return;
 		}
 
-		if (fits(demand.smallest, freeCapacity(place))) {
+		if (this.demand.mayFill(place, freeCapacity(place))) {
 			this.demand.clear(place.pool);
 			for (const activeJob of waitingJobs(this.jobs.values(), this.policy, now, place.pool)) {
 				const task = this.placeTasks(activeJob, now, actions, place);
@@ -448,6 +464,11 @@
 				// A task at least as large as one that has just found no capacity finds none either.
 				const isHopeless = demand !== undefined && fits(demand.task.spec.resources, task.spec.resources);
 				const place = isHopeless ? undefined : this.placement.choose(activeJob, task, now, only);
+				if (place ? this.placement.waitsForRack(activeJob, task, place, now) : isWaitingForRack(task, now)) {
+					this.demand.addRackWaiter(activeJob, task);
+					continue;
+				}
+
 				if (!place) {
 					return task;
 				}
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -21,8 +21,8 @@
 	leftMs: number;
 };
 
-/** TaskSpec is one task: its full name, the resources it needs and its declared run time. */
-export type TaskSpec = {name: string; resources: Resources; estimateMs: number};
+/** TaskSpec is one task: its full name, the resources it needs, its declared run time and the rack that holds its data, if it names one. */
+export type TaskSpec = {name: string; resources: Resources; estimateMs: number; dataRack?: string};
 
 /** PlaceReport is what a sidecar reports of its worker: `room` is the worker's whole capacity, `others` the part of it in use for other entries. */
 export type PlaceReport = {
@@ -116,9 +116,11 @@
 	margin: number;
 	/** Whether kinds of workers and the spread of run times are taken into account: `auto` where places of one pool report more than one kind. */
 	workers: 'auto' | 'on' | 'off';
+	/** How many times as long a task takes on another rack than that of its data. */
+	farFactor: number;
 };
 
 /** The policy of production. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2, workers: 'auto',
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2, workers: 'auto', farFactor: 1,
 };
--- a/src/decide/schedule/worker-knowledge.ts
+++ b/src/decide/schedule/worker-knowledge.ts
@@ -1,4 +1,5 @@
 import type {DurationEstimator} from '../duration-estimator.js';
+import {fits} from '../resources.js';
 import type {Places, PlaceState} from './places.js';
 import type {Policy, TaskSpec} from './types.js';
 
@@ -72,9 +73,33 @@
 		}
 	}
 
+	/** Whether a task would run off the rack of its data. A place whose rack is unknown counts as near: what it is like shows in its slowness. */
+	isFar(task: TaskSpec, place: PlaceState): boolean {
+		const rack = rackOf(place);
+		return task.dataRack !== undefined && rack !== undefined && rack !== task.dataRack && this.isOn(place.pool);
+	}
+
+	/** Returns the factor by which the way to its data lengthens a run. */
+	farFactor(task: TaskSpec, place: PlaceState): number {
+		return this.isFar(task, place) ? this.policy.farFactor : 1;
+	}
+
 	/** Returns the expected time of a run, in milliseconds. */
 	runMs({route, task, place}: RunOfTask): number {
-		return this.estimator.expectedMs(route, task.estimateMs) * this.estimator.slowness(place.id);
+		return this.estimator.expectedMs(route, task.estimateMs) * this.estimator.slowness(place.id) * this.farFactor(task, place);
+	}
+
+	/** Returns the least expected time of a run at the open places in the rack of its data, in milliseconds; infinite where there is none that can hold it. */
+	nearRunMs(route: string, pool: string, task: TaskSpec): number {
+		const near = this.places.openIn(pool).filter(place => rackOf(place) === task.dataRack && fits(task.resources, place.room));
+		return Math.min(...near.map(place => this.runMs({route, task, place})));
+	}
+
+	/** Learns from a run that has succeeded. */
+	runDone({route, task, place}: RunOfTask, ranMs: number): void {
+		this.estimator.observe({
+			route, place: place.id, ranMs, declaredMs: Math.max(1, task.estimateMs) * this.farFactor(task, place),
+		});
 	}
 
 	/** Returns the time after which a run counts as hung, in milliseconds. Where a route has tasks that are merely long, they are spared. */
@@ -86,7 +111,7 @@
 		}
 
 		const tailMs = this.estimator.quantileMs(route, task.estimateMs, hangShare) ?? 0;
-		return Math.max(usualLimitMs, tailMs * hangTailFactor * this.estimator.slowness(place.id));
+		return Math.max(usualLimitMs, tailMs * hangTailFactor * this.estimator.slowness(place.id) * this.farFactor(task, place));
 	}
 
 	/**
@@ -96,7 +121,7 @@
 	runHung({route, task, place}: RunOfTask, limitMs: number): void {
 		if (this.isOn(place.pool) && place.ejection.consecutiveFailures === 0) {
 			this.estimator.observeStopped({
-				route, place: place.id, ranMs: limitMs, declaredMs: Math.max(1, task.estimateMs),
+				route, place: place.id, ranMs: limitMs, declaredMs: Math.max(1, task.estimateMs) * this.farFactor(task, place),
 			});
 		}
 	}
@@ -107,3 +132,8 @@
 	const kind = labels?.[0];
 	return kind === undefined || kind === '' || kind.length > maxKindLength ? undefined : `${pool}/${kind}`;
 }
+
+/** Returns the rack of a place, the second of its labels. */
+export function rackOf({labels}: Pick<PlaceState, 'labels'>): string | undefined {
+	return labels?.[1] === '' ? undefined : labels?.[1];
+}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -22,6 +22,8 @@
 	seeds: readonly string[];
 	/** The scheduling policy; absent for the default. */
 	policy?: PolicySettings;
+	/** How many times as long a task takes on another rack than that of its data; absent where racks make no difference. */
+	farFactor?: number;
 };
 
 /** How often waiting jobs are checked, in milliseconds. */
@@ -90,7 +92,7 @@
 		private readonly meters: DispatcherMetrics,
 	) {
 		const {workers} = settings.policy ?? defaultPolicySettings;
-		this.schedule = Schedule.create({workers: workers.enabled});
+		this.schedule = Schedule.create({workers: workers.enabled, farFactor: Math.max(1, settings.farFactor ?? 1)});
 		this.address = settings.address;
 		this.links = Links.create(clock, this);
 		this.book = AddressBook.create({
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -175,6 +175,7 @@
 	['a job to be stored', {...submission, best_effort: undefined}, 'unserved'],
 	['two steps', {...submission, steps: [step, step]}, 'unserved'],
 	['a gang', {...submission, steps: [{...step, gang: true}]}, 'unserved'],
+	['the rack of its data, where racks are not served', {...submission, steps: [{...step, data_rack: 'k1'}]}, 'unserved'],
 	['a job that lasts', {...submission, steps: [{...step, long_running: true}]}, 'unserved'],
 	['a label', {...submission, steps: [{...step, required_label: 'a'}]}, 'unserved'],
 	['a schedule', {...submission, iterations: 3}, 'unserved'],
@@ -183,12 +184,25 @@
 	['no body', undefined, 'invalid'],
 ] as const) {
 	test(`platform: a submission has ${title}`, t => {
-		t.is(readJob(queue, '00aa', '1900', value).kind, kind);
+		t.is(readJob(queue, '00aa', {left: '1900'}, value).kind, kind);
+	});
+}
+
+for (const [title, rack, expected] of [
+	['the name of a rack', 'k1', 'k1'],
+	['an empty name', '', undefined],
+	['no name', undefined, undefined],
+	['a number', 7, 'data_rack'],
+	['a name that is too long', 'k'.repeat(257), 'data_rack'],
+] as const) {
+	test(`platform: where racks are served, the rack of its data is ${title}`, t => {
+		const reading = readJob(queue, '00aa', {servesDataRack: true}, {...submission, steps: [{...step, data_rack: rack}]});
+		t.is(reading.kind === 'unserved' ? reading.field : (reading.kind === 'job' ? reading.job.tasks[1]!.dataRack : reading.kind), expected);
 	});
 }
 
 test('platform: a submission is decoded into tasks with their full names', t => {
-	t.deepEqual(readJob(queue, '00aa', '1900', submission), {
+	t.deepEqual(readJob(queue, '00aa', {left: '1900'}, submission), {
 		kind: 'job', job: {
 			id: 'r/00aa',
 			route: 'r',
@@ -202,7 +216,7 @@
 			leftMs: 1900,
 		},
 	});
-	t.is(readJob({...queue, advised: true}, '00aa', undefined, submission).kind, 'unserved');
+	t.is(readJob({...queue, advised: true}, '00aa', {left: undefined}, submission).kind, 'unserved');
 });
 
 test('platform: settings with new fields are read, and an error names the field', t => {
@@ -219,6 +233,7 @@
 		more: {},
 	};
 	t.is(checkSettings(machineSettings, settings, 'f').node, 'n');
+	t.is(checkSettings(machineSettings, {...settings, bounds: {...settings.bounds, far_x: 3}}, 'f').bounds.far_x, 3);
 	const error = t.throws(() => checkSettings(machineSettings, {...settings, bounds: {grace_s: 6}}, 'f'), {name: 'SettingsError'});
 	t.regex(error.message, /bounds\.hold_max_ms/v);
 });
--- a/test/worker-knowledge.test.ts
+++ b/test/worker-knowledge.test.ts
@@ -158,3 +158,63 @@
 	const quantile = schedule.estimator.quantileMs('r', 1000, 0.99)!;
 	t.true(quantile < 3600 * 1.1, `${quantile}`);
 });
+
+const near = {
+	tasks: [{
+		name: 'j.0', resources: cpuOnly(4), estimateMs: 1000, dataRack: 'k1',
+	}],
+};
+/** The first of its tasks starts at once. */
+const twoRacks = {tasks: [{...near.tasks[0]!, name: 'j.1', dataRack: 'k2'}, ...near.tasks]};
+/** A place in the rack of the data and one elsewhere, with so much in use. */
+const racks = (nearUsed: number, farUsed: number, nearFields: Partial<PlaceReport> = {}): Array<[number, Event]> => [
+	[0, told('near', {labels: ['x', 'k1'], others: cpuOnly(nearUsed), ...nearFields})],
+	[0, labelled('far', ['x', 'k2'], farUsed)],
+];
+const roomAt = (place: string, used: number): Event => ({kind: 'room', place, others: cpuOnly(used)});
+
+// Off the rack the task takes 3 s, on it 1 s. It would wait for 2 s at most. A job with `aimMs` of 9 s is in time everywhere.
+for (const [title, places, events, expected] of [
+	['goes to the rack of its data', racks(4, 0), [[0, submit(near)]], ['start j.0 at near']],
+	['goes to the rack of its data also where it is in time elsewhere', racks(4, 0), [[0, submit({...near, aimMs: 9000})]], ['start j.0 at near']],
+	['goes elsewhere where it is in time, if there is no room on the rack', racks(8, 0), [[0, submit({...near, aimMs: 9000})]], ['start j.0 at far']],
+	['waits for room on the rack where it would be late elsewhere, and asks for it', racks(8, 0), [[0, submit({...near, aimMs: 3000})]], ['want 4 at near']],
+	['starts on the rack once there is room', racks(8, 0), [[0, submit({...near, aimMs: 3000})], [300, roomAt('near', 6)]], ['start j.0 at near']],
+	['is not started elsewhere while it waits for the rack', racks(8, 0), [[0, submit({...near, aimMs: 3000})], [300, roomAt('far', 1)]], []],
+	['does not wait longer than its job may', racks(8, 0), [[0, submit({...near, aimMs: 3000})], [830, tick]], ['start j.0 at far']],
+	['of a job that has begun waits longer than that', racks(8, 0), [[0, submit({...twoRacks, aimMs: 3000})], [1990, tick]], []],
+	['does not wait longer than the run elsewhere takes longer', racks(8, 0), [[0, submit({...twoRacks, aimMs: 3000})], [1990, tick], [2000, tick]], ['start j.0 at far']],
+	['does not wait for a rack without open places', racks(8, 0, {hindrance: 'draining'}), [[0, submit({...near, aimMs: 3000})]], ['start j.0 at far']],
+	['does not wait where its job would then be worth nothing', racks(8, 0), [[0, submit({...near, aimMs: 0, leftMs: 3000})]], ['start j.0 at far']],
+	['waits no longer once it is refused', racks(8, 8), [[0, submit({...near, aimMs: 3000})], [900, tick]], ['answer j refused']],
+] as Array<[string, Array<[number, Event]>, Array<[number, Event]>, string[]]>) {
+	test(`data rack: a task ${title}`, t => {
+		const schedule = Schedule.create({workers: 'on', farFactor: 3});
+		schedule.step(told('old', {hindrance: 'absent'}), -60_000);
+		t.deepEqual(play(schedule, [...places, ...events]), expected);
+	});
+}
+
+test('data rack: where the switch is off the place with the most room is taken', t => {
+	const schedule = Schedule.create({workers: 'off', farFactor: 3});
+	t.deepEqual(play(schedule, [...racks(4, 0), [0, submit(near)]]), ['start j.0 at far']);
+});
+
+test('data rack: runs far from their data do not make a place look slow', t => {
+	const schedule = Schedule.create({workers: 'on', farFactor: 3});
+	play(schedule, racks(0, 0));
+	for (let ref = 1; ref <= 100; ref++) {
+		const isNear = ref % 2 === 0;
+		play(schedule, [
+			[0, labelled('near', ['x', 'k1'], isNear ? 0 : 10)],
+			[0, labelled('far', ['x', 'k2'], isNear ? 10 : 0)],
+			[0, submit({...near, id: `j${ref}`, aimMs: 9000})],
+			[0, {
+				kind: 'ended', place: isNear ? 'near' : 'far', ref, outcome: 'done', ranMs: isNear ? 1000 : 3000,
+			}],
+		]);
+	}
+
+	const ratio = schedule.estimator.slowness('far') / schedule.estimator.slowness('near');
+	t.true(Math.abs(ratio - 1) < 0.05, `${ratio}`);
+});
