Schedule: a run that can't end before its worker leaves is started elsewhere

Cause: a worker that leaves within some 2 s took its longer runs with it; they were found lost and begun again only then. Change: the schedule follows the time that a draining place states and asks src/decide/departure.ts at each tick. A run that moves is stopped by the usual stop and placed again once the sidecar has reported its end, so the sidecar stays the sole authority on single runs. One log line run-moved with the figures, counter sniperidge_runs_moved_total; a remainingMs out of range is ignored, counted and logged once a link. With the section workers off nothing is moved.

--- a/src/decide/schedule/active-job.ts
+++ b/src/decide/schedule/active-job.ts
@@ -14,7 +14,7 @@
 	failures: number;
 	/** The place where it last failed or was lost; others are preferred. */
 	lastFailedPlace: string;
-	/** Whether its run was ordered to stop because it hung. */
+	/** Whether its run was ordered to stop because it hung or its worker leaves. */
 	stopSent: boolean;
 	/** Until when it waits for room in the rack of its data, once there was room elsewhere only. */
 	rackWaitUntil?: number;
--- a/src/decide/schedule/places.ts
+++ b/src/decide/schedule/places.ts
@@ -19,6 +19,8 @@
 	notBefore: number;
 	/** Whether a capacity request was sent that it has not answered with an offer. */
 	capacityRequested: boolean;
+	/** When its worker leaves at the earliest, if it drains and has said so. */
+	leavesAt?: number;
 };
 
 /** How long the record of a place without a link is kept, in milliseconds. Without a limit the records would pile up as machines come and go for years. */
@@ -72,7 +74,12 @@
 		}
 
 		return Object.assign(place, report, {
-			hindrance: report.hindrance, labels: report.labels, linked: true, notBefore: 0,
+			hindrance: report.hindrance,
+			labels: report.labels,
+			remainingMs: report.remainingMs,
+			leavesAt: report.remainingMs === undefined ? undefined : now + report.remainingMs,
+			linked: true,
+			notBefore: 0,
 		});
 	}
 
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -1,3 +1,4 @@
+import {decideMove} from '../departure.js';
 import {DurationEstimator} from '../duration-estimator.js';
 import type {Outcome, StartRefusal} from '../guard.js';
 import {fits} from '../resources.js';
@@ -36,6 +37,7 @@
  *   order is removed. The sidecar decides whether the task starts; entries don't coordinate, so it may refuse.
  * - Demand (`demand.ts`): tasks that fit nowhere are summarised by pool, and places are asked for capacity.
  *   These tasks have been tried at all places, so when one place changes, `fillPlace` tries only that one.
+ * - Workers (`worker-knowledge.ts`): by their kinds, racks and notice of leaving it tells how long a run takes and when it hangs.
  * - Single runs (`lost-runs.ts`): a task is not started while a run of it may be under way. A lost link makes its
  *   tasks `unknown` until the place confirms their end or `maxRunAfterLinkLossMs` has passed. Tasks that may outlive
  *   their job are remembered, so that a job submitted again does not start them twice.
@@ -376,7 +378,7 @@
 		this.placeAll(now, actions);
 	}
 
-	/** Requeues a task of unknown state once it can no longer run, and stops one that hangs. */
+	/** Requeues a task of unknown state once it can no longer run, and stops one that hangs or whose worker leaves before it can end. */
 	private checkTask(activeJob: ActiveJob, task: Task, now: number, actions: Action[]): void {
 		if (task.state === 'unknown' && now >= task.notBefore) {
 			this.orders.requeue(task, now);
@@ -401,6 +403,16 @@
 			actions.push({
 				kind: 'stop', place: task.place, ref: task.ref, hung: true,
 			});
+			return;
+		}
+
+		const departure = this.workers.departureOf(activeJob, task, now);
+		if (departure && decideMove(departure) === 'move') {
+			// Its end is reported as lost, and only then is it placed again.
+			task.stopSent = true;
+			actions.push({
+				kind: 'stop', place: task.place, ref: task.ref, hung: false, departure,
+			});
 		}
 	}
 
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -1,3 +1,4 @@
+import type {Departure} from '../departure.js';
 import type {StartRefusal, Outcome} from '../guard.js';
 import type {Resources} from '../resources.js';
 
@@ -35,6 +36,8 @@
 	hindrance?: StartRefusal;
 	/** The worker's kind and rack, by position. */
 	labels?: readonly string[];
+	/** How long a draining worker still stays, in milliseconds. */
+	remainingMs?: number;
 };
 
 /** Verdict is how a job ends. */
@@ -87,8 +90,8 @@
 /** Action is an output of the schedule, for the caller to carry out. */
 export type Action
 	= | StartAction
-	/** Stop the run of an order; `hung`: because it far exceeded its expected time. */
-		| {kind: 'stop'; place: string; ref: number; hung: boolean}
+	/** Stop the run of an order; `hung`: because it far exceeded its expected time; `departure`: because its worker leaves before it can end. */
+		| {kind: 'stop'; place: string; ref: number; hung: boolean; departure?: Departure}
 	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. */
 		| {kind: 'want'; place: string; resources: Resources; dueMs: number}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
--- a/src/decide/schedule/worker-knowledge.ts
+++ b/src/decide/schedule/worker-knowledge.ts
@@ -1,6 +1,8 @@
+import type {Departure} from '../departure.js';
 import type {DurationEstimator} from '../duration-estimator.js';
 import {fits} from '../resources.js';
-import type {Places, PlaceState} from './places.js';
+import {worthUntil, type ActiveJob, type Task} from './active-job.js';
+import {freeCapacity, type Places, type PlaceState} from './places.js';
 import type {Policy, TaskSpec} from './types.js';
 
 /** A run counts as hung after this many times its expected time plus this many milliseconds. */
@@ -95,6 +97,24 @@
 		return Math.min(...near.map(place => this.runMs({route, task, place})));
 	}
 
+	/** Returns the figures that decide whether a run is moved, or undefined where its worker is not about to leave. */
+	departureOf(activeJob: ActiveJob, {spec, place: id, placedAt}: Task, now: number): Departure | undefined {
+		const {job: {route, pool}} = activeJob;
+		const place = this.places.get(id);
+		if (place?.leavesAt === undefined || !this.isOn(pool)) {
+			return undefined;
+		}
+
+		const others = [...this.places.all()].filter(other => other.pool === pool && other !== place && this.places.mayReceive(other, now) && fits(spec.resources, freeCapacity(other)));
+		return {
+			remainingMs: Math.max(0, place.leavesAt - now),
+			ageMs: now - placedAt,
+			expectedMs: this.runMs({route, task: spec, place}),
+			elsewhereMs: Math.min(...others.map(other => this.runMs({route, task: spec, place: other}))),
+			worthMs: worthUntil(activeJob) - now,
+		};
+	}
+
 	/** Learns from a run that has succeeded. */
 	runDone({route, task, place}: RunOfTask, ranMs: number): void {
 		this.estimator.observe({
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
-	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
+	Schedule, type Action, type Event, type Job, type PlaceReport, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
+import type {Departure} from '../decide/departure.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -41,8 +42,11 @@
 /** How long changes of the addresses of entries are collected before they are sent to sidecars, in milliseconds: at a start there is one change per entry. */
 const announceDelayMs = 100;
 
-/** A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), and when that arrived. */
-type Sidecar = {link: Link; stamp: number; stampedAt: number};
+/** The longest stay that a draining worker may state, in milliseconds. */
+const maxRemainingMs = 3_600_000;
+
+/** A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), and when that arrived. `hadBadFigure`: whether a figure of it was out of range. */
+type Sidecar = {link: Link; stamp: number; stampedAt: number; hadBadFigure?: boolean};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -376,7 +380,7 @@
 			case 'place': {
 				this.updateStamp(sidecar, message.stamp);
 				this.log.info({event: 'place', place, report: message.report}, 'place reported its state');
-				this.apply({kind: 'told', place, report: message.report});
+				this.apply({kind: 'told', place, report: this.withoutBadFigures(message.report, place, sidecar)});
 				this.clear(place, message.clear);
 				break;
 			}
@@ -417,6 +421,24 @@
 		}
 	}
 
+	/** Returns a report without a figure that is out of range. The first one of a link is logged, each is counted. */
+	private withoutBadFigures(report: PlaceReport, place: string, sidecar: Sidecar): PlaceReport {
+		const {remainingMs} = report;
+		if (remainingMs === undefined || (remainingMs >= 0 && remainingMs <= maxRemainingMs)) {
+			return report;
+		}
+
+		this.meters.ignoredFigures.inc({from: 'sidecar'});
+		if (!sidecar.hadBadFigure) {
+			sidecar.hadBadFigure = true;
+			this.log.warn({
+				event: 'figure-ignored', place, field: 'remainingMs', value: remainingMs,
+			}, 'figure of a place\'s report ignored');
+		}
+
+		return {...report, remainingMs: undefined};
+	}
+
 	private updateStamp(sidecar: Sidecar, stamp: number): void {
 		sidecar.stamp = stamp;
 		sidecar.stampedAt = this.clock.mono();
@@ -463,6 +485,13 @@
 
 			case 'stop': {
 				this.meters.orders.inc({kind: 'stop'});
+				if (action.departure) {
+					this.meters.movedRuns.inc();
+					this.log.info({
+						event: 'run-moved', task: this.schedule.taskName(action.ref), place: action.place, ref: action.ref, ...roundFigures(action.departure),
+					}, 'worker leaves before the run can end, stopping it to start it elsewhere');
+				}
+
 				this.sidecars.get(action.place)?.link.send({kind: 'stop', ref: action.ref, hung: action.hung});
 				break;
 			}
@@ -509,3 +538,14 @@
 		return [this.address, ...this.book.linkedAddresses];
 	}
 }
+
+/** Returns the figures of a departure in whole milliseconds, for a log line. */
+function roundFigures(departure: Departure): Departure {
+	return {
+		remainingMs: Math.round(departure.remainingMs),
+		ageMs: Math.round(departure.ageMs),
+		expectedMs: Math.round(departure.expectedMs),
+		elsewhereMs: Math.round(departure.elsewhereMs),
+		worthMs: Math.round(departure.worthMs),
+	};
+}
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -32,6 +32,7 @@
 	readonly unsupportedJobs = counter(this.registry, 'jobs_unsupported_total', 'Jobs refused for a field that is not served.', ['field']);
 	readonly orders = counter(this.registry, 'orders_total', 'Starts, stops and wishes for room sent to sidecars.', ['kind']);
 	readonly refusedOrders = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
+	readonly movedRuns = counter(this.registry, 'runs_moved_total', 'Runs stopped to be started elsewhere because their worker leaves.', []);
 	readonly endedRuns = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
--- a/test/worker-knowledge.test.ts
+++ b/test/worker-knowledge.test.ts
@@ -218,3 +218,27 @@
 	const ratio = schedule.estimator.slowness('far') / schedule.estimator.slowness('near');
 	t.true(Math.abs(ratio - 1) < 0.05, `${ratio}`);
 });
+
+const leaving = (remainingMs: number): Event => told('a', {hindrance: 'draining', remainingMs});
+const lost: Event = {
+	kind: 'ended', place: 'a', ref: 1, outcome: 'lost', ranMs: 500,
+};
+
+for (const [title, policy, events, expected] of [
+	['a run that can\'t end before its worker leaves is stopped', {}, [[500, leaving(300)], [520, tick]], ['stop 1 at a']],
+	['it is not started elsewhere before its end is known', {}, [[500, leaving(300)], [520, tick], [2000, tick]], []],
+	['it is started elsewhere once its end is known', {}, [[500, leaving(300)], [520, tick], [570, lost]], ['start j.0 at b']],
+	['a run that ends by itself meanwhile is not started again', {}, [[500, leaving(300)], [520, tick], [530, {...lost, outcome: 'done'}]], ['answer j completed']],
+	['a run that should end in time is left', {}, [[500, leaving(600)], [520, tick]], []],
+	['a run at a worker that says nothing of leaving is left', {}, [[500, told('a', {hindrance: 'draining'})], [520, tick]], []],
+	['a run whose worker takes its notice back is left', {}, [[500, leaving(300)], [510, told('a')], [520, tick]], []],
+	['a run is left where the other places are full', {}, [[400, told('b', {others: cpuOnly(10)})], [500, leaving(300)], [520, tick]], []],
+	['a run of a job that could not end elsewhere is left', {leftMs: 1400}, [[500, leaving(300)], [520, tick]], []],
+	['a run is left where the switch is off', {workers: 'off'}, [[500, leaving(300)], [520, tick]], []],
+] as Array<[string, {leftMs?: number; workers?: Policy['workers']}, Array<[number, Event]>, string[]]>) {
+	test(`departure: ${title}`, t => {
+		const schedule = Schedule.create({workers: policy.workers ?? 'on'});
+		play(schedule, [[0, told('a')], [0, submit({leftMs: policy.leftMs ?? 60_000})], [0, told('b')]]);
+		t.deepEqual(play(schedule, events), expected);
+	});
+}
