--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -28,7 +28,7 @@
 	},
 	{
 		kind: 'place', report: {
-			zone: 'z', pool: 'p', room, others: room, isFailing: false, hindrance: 'draining',
+			zone: 'z', pool: 'p', room, others: room, isFailing: false, hindrance: 'draining', labels: ['k', 'r1'], remainingMs: 1900,
 		}, stamp: 1, clear: true,
 	},
 	{
@@ -230,6 +230,15 @@
 	t.deepEqual(decodeMessage({kind: 'later', more: 1}), {kind: 'unknown', name: 'later'});
 });
 
+test('malformed: a time of leaving that is out of range is left out, counted, and logged once a link', async t => {
+	const {log, kept} = keepLines();
+	const {entry, meters} = await openEntry(t, log);
+	await sendLines(entry.address, [hello('sidecar'), place.replace('1900', '-1'), place.replace('1900', '1e12'), '{}']);
+	t.deepEqual(kept.filter(({event}) => event === 'figure-ignored').map(({place: from, field, value}) => [from, field, value]), [['liar', 'remainingMs', -1]]);
+	t.is((await meters.ignoredFigures.get()).values[0]!.value, 2);
+	t.is(entry.schedule.placeCounts.linked, 0);
+});
+
 /** A message with one field, at any depth, left out or put to something else. */
 const spoilt = fc.record({sample: fc.constantFrom(...samples), pick: fc.nat(), value: fc.oneof(fc.constant(undefined), fc.jsonValue())}).map(({sample, pick, value}) => {
 	const copy = structuredClone(sample) as unknown as Record<string, unknown>;
