--- a/src/decide/schedule/places.ts
+++ b/src/decide/schedule/places.ts
@@ -19,6 +19,8 @@
 	notBefore: number;
 	/** Whether a capacity request was sent that it has not answered with an offer. */
 	capacityRequested: boolean;
+	/** When its worker leaves at the earliest, if it drains and has said so. */
+	leavesAt?: number;
 };
 
 /** How long the record of a place without a link is kept, in milliseconds. Without a limit the records would pile up as machines come and go for years. */
@@ -65,8 +67,8 @@
 		return [...this.byId.values()].filter(place => place.pool === pool && this.isOpen(place));
 	}
 
-	/** Records a full report. */
-	update(id: string, report: PlaceReport, now: number): void {
+	/** Records a full report. Returns the place. */
+	update(id: string, report: PlaceReport, now: number): PlaceState {
 		const known = this.byId.get(id);
 		const place = known ?? {
 			...report, id, linked: true, ownUsage: {cpu: 0, memoryMb: 0, accelerators: 0}, outstandingOrders: 0, linkLostAt: now,
@@ -77,7 +79,14 @@
 			place.ejection = recordReport(place.ejection, report.isFailing, now, this.mayEject(place));
 		}
 
-		Object.assign(place, report, {hindrance: report.hindrance, linked: true, notBefore: 0});
+		return Object.assign(place, report, {
+			hindrance: report.hindrance,
+			labels: report.labels,
+			remainingMs: report.remainingMs,
+			leavesAt: report.remainingMs === undefined ? undefined : now + report.remainingMs,
+			linked: true,
+			notBefore: 0,
+		});
 	}
 
 	/** Records the loss of the link to a place. */
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -1,7 +1,9 @@
+import {decideMove} from '../departure.js';
 import {DurationEstimator} from '../duration-estimator.js';
 import type {Outcome, StartRefusal} from '../guard.js';
-import {fits} from '../resources.js';
-import {hasStarted, type ActiveJob, type Task} from './active-job.js';
+import {
+	hasStarted, isWaitingForRack, type ActiveJob, type Task,
+} from './active-job.js';
 import {Admission} from './admission.js';
 import {Demand} from './demand.js';
 import {Jobs} from './jobs.js';
@@ -13,13 +15,11 @@
 import {
 	usualPolicy, type Action, type Event, type Job, type Policy, type Verdict,
 } from './types.js';
+import {WorkerKnowledge} from './worker-knowledge.js';
 
 export {maxRunAfterLinkLossMs} from './lost-runs.js';
 export * from './types.js';
 
-/** A run counts as hung after this many times its expected time plus this many milliseconds. */
-const hangFactor = 3;
-const hangMs = 600;
 /** How long a place gets no work after it refused an order, in milliseconds, unless it reports its capacity before. */
 const refusalBackoffMs = 15;
 /** How long a task waits that was refused because a run of the same name is still under way, in milliseconds. */
@@ -37,6 +37,7 @@
  *   order is removed. The sidecar decides whether the task starts; entries don't coordinate, so it may refuse.
  * - Demand (`demand.ts`): tasks that fit nowhere are summarised by pool, and places are asked for capacity.
  *   These tasks have been tried at all places, so when one place changes, `fillPlace` tries only that one.
+ * - Workers (`worker-knowledge.ts`): by their kinds, racks and notice of leaving it tells how long a run takes and when it hangs.
  * - Single runs (`lost-runs.ts`): a task is not started while a run of it may be under way. A lost link makes its
  *   tasks `unknown` until the place confirms their end or `maxRunAfterLinkLossMs` has passed. Tasks that may outlive
  *   their job are remembered, so that a job submitted again does not start them twice.
@@ -59,6 +60,7 @@
 	private readonly demand = Demand.create(this.places, this.jobs);
 	private readonly admission: Admission;
 	private readonly placement: Placement;
+	private readonly workers: WorkerKnowledge;
 
 	private arrivals = 0;
 
@@ -67,7 +69,10 @@
 		this.admission = Admission.create({
 			policy, places, estimator, jobs,
 		});
-		this.placement = Placement.create(policy, places, estimator);
+		this.workers = WorkerKnowledge.create(policy, places, estimator);
+		this.placement = Placement.create({
+			policy, places, estimator, workers: this.workers,
+		});
 	}
 
 	get jobCount(): number {
@@ -109,6 +114,11 @@
 		return this.orders.get(ref)?.task.spec.name;
 	}
 
+	/** Whether jobs of a pool may name the rack of their data. */
+	servesDataRack(pool: string): boolean {
+		return this.workers.isOn(pool);
+	}
+
 	/** When the next job is due to be refused unless it starts; infinite when there is none. */
 	get nextRefusalAt(): number {
 		return this.jobs.nextRefusalAt;
@@ -139,7 +149,7 @@
 
 			case 'told': {
 				this.admission.placeReported(now);
-				this.places.update(event.place, event.report, now);
+				this.workers.placeReported(this.places.update(event.place, event.report, now));
 				this.fillPlace(event.place, now, actions);
 				break;
 			}
@@ -260,6 +270,7 @@
 		}
 
 		this.estimator.prune(place => this.places.get(place) !== undefined);
+		this.workers.prune();
 	}
 
 	/** Requeues the tasks of unknown state at a place, which has confirmed that its earlier runs have ended. */
@@ -309,10 +320,8 @@
 			this.places.recordResult(place, outcome === 'done', now);
 		}
 
-		if (outcome === 'done') {
-			this.estimator.observe({
-				route: activeJob.job.route, place: id, ranMs, declaredMs: Math.max(1, task.spec.estimateMs),
-			});
+		if (place && outcome === 'done') {
+			this.workers.runDone({route: activeJob.job.route, task: task.spec, place}, ranMs);
 		}
 
 		if (task.ref !== ref || task.state !== 'placed' || !this.jobs.has(activeJob)) {
@@ -360,7 +369,7 @@
 				continue;
 			}
 
-			if (now >= activeJob.refuseAt && !hasStarted(activeJob)) {
+			if (now >= activeJob.refuseAt && !hasStarted(activeJob) && !this.placeInsteadOfRack(activeJob, now, actions)) {
 				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, this.placeCounts.open === 0 ? 'no-place' : 'overloaded', now), now, actions);
 				continue;
 			}
@@ -373,28 +382,41 @@
 		this.placeAll(now, actions);
 	}
 
-	/** Requeues a task of unknown state once it can no longer run, and stops one that hangs. */
+	/** Requeues a task of unknown state once it can no longer run, and stops one that hangs or whose worker leaves before it can end. */
 	private checkTask(activeJob: ActiveJob, task: Task, now: number, actions: Action[]): void {
 		if (task.state === 'unknown' && now >= task.notBefore) {
 			this.orders.requeue(activeJob, task, now);
 			return;
 		}
 
-		if (task.state !== 'placed' || task.stopSent || now - task.placedAt <= hangMs) {
+		if (task.state !== 'placed' || task.stopSent) {
 			return;
 		}
 
-		const expected = this.estimator.expectedMs(activeJob.job.route, task.spec.estimateMs) * this.estimator.slowness(task.place);
-		if (now - task.placedAt > (expected * hangFactor) + hangMs) {
-			task.stopSent = true;
-			const place = this.places.get(task.place);
-			if (place) {
-				this.places.recordResult(place, false, now);
-			}
+		const place = this.places.get(task.place);
+		if (!place) {
+			return;
+		}
 
+		const run = {route: activeJob.job.route, task: task.spec, place};
+		const limitMs = this.workers.exceededLimitMs(run, now - task.placedAt);
+		if (limitMs !== undefined) {
+			task.stopSent = true;
+			this.workers.runHung(run, limitMs);
+			this.places.recordResult(place, false, now);
 			actions.push({
 				kind: 'stop', place: task.place, ref: task.ref, hung: true,
 			});
+			return;
+		}
+
+		const departure = this.workers.departureOf(activeJob, task, now);
+		if (departure && decideMove(departure) === 'move') {
+			// Its end is reported as lost, and only then is it placed again.
+			task.stopSent = true;
+			actions.push({
+				kind: 'stop', place: task.place, ref: task.ref, hung: false, departure,
+			});
 		}
 	}
 
@@ -411,6 +433,16 @@
 		this.demand.requestAll(now, actions);
 	}
 
+	/** Places the tasks of a job that is due to be refused and has waited for the rack of its data at other places. Returns whether one was placed. */
+	private placeInsteadOfRack(activeJob: ActiveJob, now: number, actions: Action[]): boolean {
+		if (activeJob.tasks.every(({rackWaitUntil}) => rackWaitUntil === undefined)) {
+			return false;
+		}
+
+		this.placeTasks(activeJob, now, actions, {inPass: false});
+		return hasStarted(activeJob);
+	}
+
 	/** Places the requeued tasks of one job. All other waiting tasks have been tried already. */
 	private placeJob(activeJob: ActiveJob, now: number, actions: Action[]): void {
 		const task = this.placeTasks(activeJob, now, actions, {inPass: false});
@@ -423,12 +455,11 @@
 	/** Places waiting tasks at one place whose state has changed. They have found no capacity elsewhere, so no other place is tried. */
 	private fillPlace(id: string, now: number, actions: Action[]): void {
 		const place = this.places.get(id);
-		const demand = place && this.demand.get(place.pool);
-		if (!demand || !this.places.mayReceive(place, now)) {
+		if (!place || !this.places.mayReceive(place, now)) {
 			return;
 		}
 
-		if (fits(demand.smallest, freeCapacity(place))) {
+		if (this.demand.mayFill(place, freeCapacity(place))) {
 			this.demand.clear(place.pool);
 			for (const activeJob of inOrder(this.jobs.waiting(place.pool), this.policy, now)) {
 				const task = this.placeTasks(activeJob, now, actions, {inPass: true, only: place});
@@ -449,6 +480,11 @@
 		for (const task of activeJob.tasks) {
 			if (task.state === 'waiting' && now >= task.notBefore && !this.lostRuns.mayStillRun(task.spec.name, now)) {
 				const place = this.demand.isHopeless(activeJob.job.pool, task.spec.resources, inPass) ? undefined : this.placement.choose(activeJob, task, now, only);
+				if (place ? this.placement.waitsForRack(activeJob, task, place, now) : isWaitingForRack(task, now)) {
+					this.demand.addRackWaiter(activeJob, task);
+					continue;
+				}
+
 				if (!place) {
 					return task;
 				}
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -1,3 +1,4 @@
+import type {Departure} from '../departure.js';
 import type {StartRefusal, Outcome} from '../guard.js';
 import type {Resources} from '../resources.js';
 
@@ -21,8 +22,8 @@
 	leftMs: number;
 };
 
-/** TaskSpec is one task: its full name, the resources it needs and its declared run time. */
-export type TaskSpec = {name: string; resources: Resources; estimateMs: number};
+/** TaskSpec is one task: its full name, the resources it needs, its declared run time and the rack that holds its data, if it names one. */
+export type TaskSpec = {name: string; resources: Resources; estimateMs: number; dataRack?: string};
 
 /** PlaceReport is what a sidecar reports of its worker: `room` is the worker's whole capacity, `others` the part of it in use for other entries. */
 export type PlaceReport = {
@@ -33,6 +34,10 @@
 	/** Whether all runs that ended there lately failed, those of other entries included. */
 	isFailing: boolean;
 	hindrance?: StartRefusal;
+	/** The worker's kind and rack, by position. */
+	labels?: readonly string[];
+	/** How long a draining worker still stays, in milliseconds. */
+	remainingMs?: number;
 };
 
 /** Verdict is how a job ends. */
@@ -85,8 +90,8 @@
 /** Action is an output of the schedule, for the caller to carry out. */
 export type Action
 	= | StartAction
-	/** Stop the run of an order; `hung`: because it far exceeded its expected time. */
-		| {kind: 'stop'; place: string; ref: number; hung: boolean}
+	/** Stop the run of an order; `hung`: because it far exceeded its expected time; `departure`: because its worker leaves before it can end. */
+		| {kind: 'stop'; place: string; ref: number; hung: boolean; departure?: Departure}
 	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. */
 		| {kind: 'want'; place: string; resources: Resources; dueMs: number}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
@@ -112,9 +117,13 @@
 	shareLeast: number;
 	/** The safety factor on expected run times wherever a task must end in time: estimates are some 40% off. */
 	margin: number;
+	/** Whether kinds of workers and the spread of run times are taken into account: `auto` where places of one pool report more than one kind. */
+	workers: 'auto' | 'on' | 'off';
+	/** How many times as long a task takes on another rack than that of its data. */
+	farFactor: number;
 };
 
 /** The policy of production. */
 export const usualPolicy: Policy = {
-	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2,
+	patienceShare: 0.18, settlingShare: 2.5, urgentFirst: false, lateLast: true, begunFirst: true, spread: true, shareLeast: 0.02, margin: 2, workers: 'auto', farFactor: 1,
 };
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,10 +1,11 @@
 import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
-	Schedule, type Action, type Event, type Job, type StartAction, type Verdict,
+	Schedule, type Action, type Event, type Job, type PlaceReport, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
+import type {Departure} from '../decide/departure.js';
 import type {Clock} from '../ports/clock.js';
-import type {PolicySettings} from '../settings/policy.js';
+import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
 import {
@@ -25,6 +26,8 @@
 	seeds: readonly string[];
 	/** The scheduling policy; absent for the default. */
 	policy?: PolicySettings;
+	/** How many times as long a task takes on another rack than that of its data; absent where racks make no difference. */
+	farFactor?: number;
 };
 
 /** How often waiting jobs are checked, in milliseconds. */
@@ -42,8 +45,14 @@
 /** How long changes of the addresses of entries are collected before they are sent to sidecars, in milliseconds: at a start there is one change per entry. */
 const announceDelayMs = 100;
 
-/** A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, and the texts sent to it. */
-type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts};
+/** The longest stay that a draining worker may state, in milliseconds. */
+const maxRemainingMs = 3_600_000;
+
+/**
+ * A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, and the
+ * texts sent to it. `hadBadFigure`: whether a figure of it was out of range.
+ */
+type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; hadBadFigure?: boolean};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -58,7 +67,7 @@
 		return dispatcher;
 	}
 
-	readonly schedule = Schedule.create();
+	readonly schedule: Schedule;
 	/** The address that it listens on, as host:port. */
 	address: string;
 
@@ -97,6 +106,8 @@
 		private readonly log: Logger,
 		private readonly meters: DispatcherMetrics,
 	) {
+		const {workers} = settings.policy ?? defaultPolicySettings;
+		this.schedule = Schedule.create({workers: workers.enabled, farFactor: Math.max(1, settings.farFactor ?? 1)});
 		this.address = settings.address;
 		this.links = Links.create(clock, this);
 		meters.registerTraffic(this.links.traffic);
@@ -402,7 +413,7 @@
 			case 'place': {
 				this.updateStamp(sidecar, message.stamp);
 				this.log.info({event: 'place', place, report: message.report}, 'place reported its state');
-				this.apply({kind: 'told', place, report: message.report});
+				this.apply({kind: 'told', place, report: this.withoutBadFigures(message.report, place, sidecar)});
 				this.clear(place, message.clear);
 				break;
 			}
@@ -448,6 +459,24 @@
 		}
 	}
 
+	/** Returns a report without a figure that is out of range. The first one of a link is logged, each is counted. */
+	private withoutBadFigures(report: PlaceReport, place: string, sidecar: Sidecar): PlaceReport {
+		const {remainingMs} = report;
+		if (remainingMs === undefined || (remainingMs >= 0 && remainingMs <= maxRemainingMs)) {
+			return report;
+		}
+
+		this.meters.ignoredFigures.inc({from: 'sidecar'});
+		if (!sidecar.hadBadFigure) {
+			sidecar.hadBadFigure = true;
+			this.log.warn({
+				event: 'figure-ignored', place, field: 'remainingMs', value: remainingMs,
+			}, 'figure of a place\'s report ignored');
+		}
+
+		return {...report, remainingMs: undefined};
+	}
+
 	private updateStamp(sidecar: Sidecar, stamp: number): void {
 		sidecar.stamp = stamp;
 		sidecar.stampedAt = this.clock.mono();
@@ -500,6 +529,13 @@
 
 			case 'stop': {
 				this.meters.orders.inc({kind: 'stop'});
+				if (action.departure) {
+					this.meters.movedRuns.inc();
+					this.log.info({
+						event: 'run-moved', task: this.schedule.taskName(action.ref), place: action.place, ref: action.ref, ...roundFigures(action.departure),
+					}, 'worker leaves before the run can end, stopping it to start it elsewhere');
+				}
+
 				this.sidecars.get(action.place)?.link.send({kind: 'stop', ref: action.ref, hung: action.hung});
 				break;
 			}
@@ -593,3 +629,14 @@
 		return [this.address, ...this.book.linkedAddresses];
 	}
 }
+
+/** Returns the figures of a departure in whole milliseconds, for a log line. */
+function roundFigures(departure: Departure): Departure {
+	return {
+		remainingMs: Math.round(departure.remainingMs),
+		ageMs: Math.round(departure.ageMs),
+		expectedMs: Math.round(departure.expectedMs),
+		elsewhereMs: Math.round(departure.elsewhereMs),
+		worthMs: Math.round(departure.worthMs),
+	};
+}
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -46,9 +46,11 @@
 	readonly unsupportedJobs = counter(this.registry, 'jobs_unsupported_total', 'Jobs refused for a field that is not served.', ['field']);
 	readonly orders = counter(this.registry, 'orders_total', 'Starts, stops and wishes for room sent to sidecars.', ['kind']);
 	readonly refusedOrders = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
+	readonly movedRuns = counter(this.registry, 'runs_moved_total', 'Runs stopped to be started elsewhere because their worker leaves.', []);
 	readonly endedRuns = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
+	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
 	readonly storeCalls = counter(this.registry, 'store_calls_total', 'Calls to the platform\'s store by call and result.', ['call', 'result']);
 	readonly jobLatency = new Histogram({
 		name: 'sniperidge_job_seconds', help: 'Time from a job\'s arrival to its answer.', labelNames: ['route', 'verdict'], buckets, registers: [this.registry],
@@ -85,6 +87,7 @@
 	readonly unansweredPolls = counter(this.registry, 'looks_unanswered_total', 'Looks at the worker without an answer.', []);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
+	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
 
 	/** Registers the counter of the bytes on links, which is read at each scrape. */
 	registerTraffic(traffic: LinkTraffic): void {
