Admission while a pool is short: hold back the least urgent and largest jobs

Cause: under shortage each job was refused by its own patience alone. The small urgent jobs can wait least and were refused most, 9 of them for the work of one of the middle kind. Change: src/decide/shortage.ts keeps a level with hysteresis, which rises while the queueing time of the pool is above 30 ms and falls while it is below 15. It holds back classes of jobs (a route and a part of its jobs by work), the least urgent and largest first; every second job of such a class is admitted. A route or class that has fallen below half of the admitted share of all jobs or of its route may wait until its latest start. Jobs are ordered by priority. The switch is `shortage` of the policy settings; auto acts where jobs of a pool differ in priority. Off gives the recorded actions. Refusals state the level.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -176,7 +176,10 @@
 };
 
 /** Tally is what the callers of one kind of job got. */
-export type Tally = {asked: number; inAim: number; late: number; tooLate: number; refused: number; failed: number; worth: number; heldRefused: number};
+export type Tally = {asked: number; inAim: number; late: number; tooLate: number; refused: number; failed: number; worth: number; heldRefused: number; ends: End[]};
+
+/** End is what became of one job, with its declared work. */
+type End = {work: number; served: boolean};
 
 /** Draw is one job with what only the model knows. */
 type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number};
@@ -225,7 +228,7 @@
 		this.linked = load.workers.map((_, index) => rankByRendezvous(`s${index}`, entries).slice(0, load.links).map(Number));
 		for (const {route} of load.kinds) {
 			this.tallies.set(route, {
-				asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, worth: 0, heldRefused: 0,
+				asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, worth: 0, heldRefused: 0, ends: [],
 			});
 		}
 	}
@@ -547,9 +550,14 @@
 		});
 	}
 
-	private count({kind, objective, worth, at}: Draw, verdict: Verdict): void {
+	private count({
+		job, kind, objective, worth, at,
+	}: Draw, verdict: Verdict): void {
 		const tally = this.tallies.get(kind.route)!;
 		const took = this.now - at + (2 * wayMs);
+		tally.ends.push({
+			work: job.tasks.reduce((sum, {resources, estimateMs}) => sum + (resources.cpu * estimateMs), 0), served: verdict.kind === 'completed' && took <= objective * lateFactor,
+		});
 		switch (verdict.kind) {
 			case 'completed': {
 				if (took <= objective) {
@@ -581,6 +589,21 @@
 	}
 }
 
+/** The size classes of a kind by work: the largest tenth, the fifth below it, and the rest. */
+const classBounds = [0, 0.7, 0.9, 1] as const;
+
+/** Returns the share of jobs served, or 1 where there are none. */
+function servedShare(ends: readonly End[]): number {
+	return ends.length === 0 ? 1 : ends.filter(({served}) => served).length / ends.length;
+}
+
+/** Returns the served share of each size class of a kind relative to the whole kind, the smallest jobs first. */
+function classShares(ends: readonly End[]): number[] {
+	const sorted = ends.toSorted((a, b) => a.work - b.work);
+	const whole = servedShare(ends);
+	return classBounds.slice(1).map((bound, index) => servedShare(sorted.slice(Math.floor(classBounds[index]! * ends.length), Math.floor(bound * ends.length))) / whole);
+}
+
 /** Plays loads with a policy over some seeds and prints one JSON line each: worth earned over worth owed, and what callers got. */
 export function comparePlans(names: readonly string[], policy: Partial<Policy>, seeds: readonly number[]): void {
 	const all = {...loads, ...largeLoads, ...hardLoads};
@@ -589,6 +612,7 @@
 			asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, heldRefused: 0,
 		};
 		const byRoute: Record<string, number> = {};
+		const ends = new Map<string, End[]>();
 		let share = 0;
 		let refusals = 0;
 		let wants = 0;
@@ -604,6 +628,7 @@
 				const part = tally.worth / (worth * tally.asked);
 				byRoute[route] = (byRoute[route] ?? 0) + (part / seeds.length);
 				share += tally.worth;
+				ends.set(route, [...(ends.get(route) ?? []), ...tally.ends]);
 				for (const key of Object.keys(total) as Array<keyof typeof total>) {
 					total[key] += tally[key];
 				}
@@ -617,6 +642,8 @@
 			seeds: seeds.length,
 			earned: mean(share, 2),
 			byRoute: Object.fromEntries(Object.entries(byRoute).map(([route, part]) => [route, Number(part.toFixed(3))])),
+			servedByRoute: Object.fromEntries([...ends].map(([route, list]) => [route, Number(servedShare(list).toFixed(3))])),
+			classes: Object.fromEntries([...ends].map(([route, list]) => [route, classShares(list).map(part => Number(part.toFixed(2)))])),
 			...total,
 			orderRefusals: mean(refusals, 3),
 			wants: mean(wants, 3),
--- a/src/decide/schedule/admission.ts
+++ b/src/decide/schedule/admission.ts
@@ -1,5 +1,6 @@
 import type {DurationEstimator} from '../duration-estimator.js';
 import {fits} from '../resources.js';
+import {Shortage, type Applicant} from '../shortage.js';
 import {hasStarted, waitingWorkOf, type ActiveJob} from './active-job.js';
 import type {Jobs} from './jobs.js';
 import {compareSortKeys, sortKeyOf} from './ordering.js';
@@ -30,6 +31,9 @@
 	/** When the first place reported: the start of the warm-up. */
 	private firstPlaceAt = Number.POSITIVE_INFINITY;
 
+	/** The state of admission while a pool is short, by pool. */
+	private readonly shortages = new Map<string, Shortage>();
+
 	private constructor(private readonly inputs: AdmissionInputs) {}
 
 	/** Records that a place has reported, the first of which starts the warm-up. */
@@ -59,7 +63,27 @@
 			return 'no-place';
 		}
 
-		return this.expectedMs(activeJob, now) > refuseAt - arrivedAt ? 'overloaded' : undefined;
+		const isTooLate = this.expectedMs(activeJob, now) > refuseAt - arrivedAt;
+		const shortage = this.shortageOf(job.pool);
+		if (!shortage) {
+			return isTooLate ? 'overloaded' : undefined;
+		}
+
+		const applicant = applicantOf(activeJob);
+		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job.pool, waitingWorkIn(this.inputs, job.pool)), now);
+		const mayWaitLonger = isTooLate && shortage.isBelowFloor(applicant) && this.expectedMs(activeJob, now) <= activeJob.latestStartAt - now;
+		if (mayWaitLonger) {
+			activeJob.refuseAt = Math.max(refuseAt, activeJob.latestStartAt);
+		}
+
+		const isAdmitted = mayWaitLonger || !(isHeldBack || isTooLate);
+		shortage.record(applicant, isAdmitted, now);
+		return isAdmitted ? undefined : 'overloaded';
+	}
+
+	/** Records that an admitted job was refused after all. */
+	refusedLate(activeJob: ActiveJob): void {
+		this.shortages.get(activeJob.job.pool)?.withdraw(applicantOf(activeJob));
 	}
 
 	/** Returns the verdict on a job that is given up. `refused` promises that nothing ran, so a job that may have run, also under an earlier submission, is `expired`. */
@@ -73,6 +97,7 @@
 			patienceMs: Math.round(activeJob.refuseAt - activeJob.arrivedAt),
 			waiting: this.inputs.jobs.pendingCount(),
 			...this.inputs.places.counts,
+			...(this.inputs.policy.shortage && {level: Number((this.shortages.get(activeJob.job.pool)?.level ?? 0).toFixed(1))}),
 		};
 		return {
 			kind: 'refused', why, retryMs: this.retryMs(), inputs,
@@ -81,7 +106,7 @@
 
 	/** Estimates the queueing time of a job: the waiting work ordered before it or equal to it, over this entry's share of the processing rate of its pool. */
 	private expectedMs(activeJob: ActiveJob, now: number): number {
-		const {policy, places, estimator, jobs} = this.inputs;
+		const {policy, estimator, jobs} = this.inputs;
 		const {pool} = activeJob.job;
 		const sortKey = sortKeyOf(activeJob, policy, now);
 		let work = 0;
@@ -91,6 +116,12 @@
 			}
 		}
 
+		return this.queueMs(pool, work);
+	}
+
+	/** Returns the time in which this entry's share of the processing rate of a pool does so much work, in milliseconds. */
+	private queueMs(pool: string, work: number): number {
+		const {policy, places, estimator} = this.inputs;
 		let rate = 0;
 		let own = 0;
 		let others = 0;
@@ -104,6 +135,17 @@
 		return rate === 0 ? 0 : work / (rate * share);
 	}
 
+	private shortageOf(pool: string): Shortage | undefined {
+		const settings = this.inputs.policy.shortage;
+		let shortage = this.shortages.get(pool);
+		if (!shortage && settings) {
+			shortage = Shortage.create(settings);
+			this.shortages.set(pool, shortage);
+		}
+
+		return shortage;
+	}
+
 	private isWarmingUp(now: number): boolean {
 		return now - this.firstPlaceAt < warmUpMs;
 	}
@@ -112,3 +154,17 @@
 		return Math.min(maxRetryMs, minRetryMs + (this.inputs.jobs.pendingCount() * 50));
 	}
 }
+
+function applicantOf({job, tasks}: ActiveJob): Applicant {
+	return {route: job.route, priority: job.priority, work: tasks.reduce((sum, {spec}) => sum + (spec.resources.cpu * spec.estimateMs), 0)};
+}
+
+/** Returns the expected work of all tasks of a pool that wait, in thousandths of a core times milliseconds. */
+function waitingWorkIn({jobs, estimator}: AdmissionInputs, pool: string): number {
+	let work = 0;
+	for (const activeJob of jobs.waiting(pool)) {
+		work += estimator.expectedMs(activeJob.job.route, waitingWorkOf(activeJob));
+	}
+
+	return work;
+}
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -370,6 +370,7 @@
 			}
 
 			if (now >= activeJob.refuseAt && !hasStarted(activeJob) && !this.placeInsteadOfRack(activeJob, now, actions)) {
+				this.admission.refusedLate(activeJob);
 				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, this.placeCounts.open === 0 ? 'no-place' : 'overloaded', now), now, actions);
 				continue;
 			}
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -1,6 +1,7 @@
 import type {Departure} from '../departure.js';
 import type {StartRefusal, Outcome} from '../guard.js';
 import type {Resources} from '../resources.js';
+import type {ShortageSettings} from '../shortage.js';
 
 /** Job is a submission that is held in memory only. It completes when all of its tasks have succeeded; any other end is reported by its verdict. */
 export type Job = {
@@ -53,9 +54,10 @@
 
 /**
  * RefusalInputs are the figures behind a refusal: the expected queueing time and the longest wait allowed for the
- * job, in milliseconds, the numbers of available and of linked places, and the number of jobs that have not started.
+ * job, in milliseconds, the numbers of available and of linked places, the number of jobs that have not started, and the
+ * level of shortage of the pool (see `shortage.ts`) where that governs admission.
  */
-export type RefusalInputs = {expectedMs: number; patienceMs: number; open: number; linked: number; waiting: number};
+export type RefusalInputs = {expectedMs: number; patienceMs: number; open: number; linked: number; waiting: number; level?: number};
 
 /** JobRefusal is why an entry does not run a job. */
 export type JobRefusal = 'no-place' | 'overloaded' | 'stopping';
@@ -125,6 +127,8 @@
 	colocate: boolean;
 	/** The entry's availability zone, whose places are preferred to equal ones; absent if all zones count the same. */
 	zone?: string;
+	/** Admission while a pool is short; absent: by the wait of each job alone. */
+	shortage?: ShortageSettings;
 };
 
 /** The policy of production. */
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
-	Schedule, type Action, type Event, type Job, type PlaceReport, type StartAction, type Verdict,
+	Schedule, type Action, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
 import type {Departure} from '../decide/departure.js';
 import type {Clock} from '../ports/clock.js';
@@ -108,12 +108,8 @@
 		private readonly log: Logger,
 		private readonly meters: DispatcherMetrics,
 	) {
-		const {workers, links} = settings.policy ?? defaultPolicySettings;
+		this.schedule = Schedule.create(schedulePolicyOf(settings));
 		this.address = settings.address;
-		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
-		this.schedule = Schedule.create({
-			workers: workers.enabled, farFactor: Math.max(1, settings.farFactor ?? 1), ...(links.enabled !== 'off' && {colocate: true, zone: settings.zone}),
-		});
 		this.links = Links.create(clock, this);
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -645,3 +641,15 @@
 		worthMs: Math.round(departure.worthMs),
 	};
 }
+
+/** Returns the parameters of the schedule that the settings ask for. */
+function schedulePolicyOf({policy = defaultPolicySettings, farFactor = 1, zone}: DispatcherSettings): Partial<Policy> {
+	const {enabled, ...parameters} = policy.shortage;
+	return {
+		workers: policy.workers.enabled,
+		farFactor: Math.max(1, farFactor),
+		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
+		...(policy.links.enabled !== 'off' && {colocate: true, zone}),
+		...(enabled !== 'off' && {urgentFirst: true, shortage: {...parameters, always: enabled === 'on'}}),
+	};
+}
--- a/src/settings/policy.ts
+++ b/src/settings/policy.ts
@@ -8,7 +8,15 @@
 /** What an entry takes on while it is short of processor time or bandwidth. */
 const overload = z.strictObject({enabled}).prefault({});
 /** Admission while the pool of workers is short. */
-const shortage = z.strictObject({enabled}).prefault({});
+const shortage = z.strictObject({
+	enabled,
+	/** Above the first queueing time ever more classes of jobs are held back, below the second ever fewer. */
+	raiseAboveMs: z.number().min(1).max(1000).default(30),
+	lowerBelowMs: z.number().min(0).max(1000).default(15),
+	/** How long it takes to hold back one class more or less. */
+	raiseMs: z.number().min(10).max(10_000).default(150),
+	lowerMs: z.number().min(10).max(60_000).default(300),
+}).prefault({});
 /** What is learned and assumed about workers. */
 const workers = z.strictObject({enabled}).prefault({});
 /** Placement by what waits and what ends soon. */
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import type {StartRefusal, Outcome} from '../src/decide/guard.js';
 import {
-	maxRunAfterLinkLossMs, Schedule, type Action, type Event, type Job, type PlaceReport, type Verdict,
+	maxRunAfterLinkLossMs, Schedule, type Action, type Event, type Job, type PlaceReport, type Policy, type Verdict,
 } from '../src/decide/schedule/schedule.js';
 
 const room = (cpu: number) => ({cpu, memoryMb: 1, accelerators: 0});
@@ -217,13 +217,13 @@
 /** Runs a history of steps against a schedule, with an independent model of the runs under way. */
 class Play {
 	/** `labels` are those of the places in turn; where there are two, tasks name the rack of their data and draining places leave soon. */
-	static create(labels: ReadonlyArray<readonly string[]> = [[]]): Play {
-		return new Play(labels);
+	static create(policy: Partial<Policy>, labels: ReadonlyArray<readonly string[]> = [[]]): Play {
+		return new Play(policy, labels);
 	}
 
 	readonly faults: string[] = [];
 
-	private readonly schedule = Schedule.create({farFactor: 3});
+	private readonly schedule: Schedule;
 	private now = 0;
 	private jobs = 0;
 	private readonly open = new Map<number, Open>();
@@ -235,7 +235,8 @@
 	private readonly ran = new Set<string>();
 	private readonly failures = new Map<string, number>();
 
-	private constructor(private readonly labels: ReadonlyArray<readonly string[]>) {
+	private constructor(policy: Partial<Policy>, private readonly labels: ReadonlyArray<readonly string[]>) {
+		this.schedule = Schedule.create({farFactor: 3, ...policy});
 		for (const id of ['p0', 'p1', 'p2', 'p3']) {
 			this.tell(id);
 		}
@@ -254,7 +255,9 @@
 				}
 
 				const submitted = this.submitted.get(id) ?? {
-					...job({id, leftMs: one.leftMs}),
+					...job({
+						id, leftMs: one.leftMs, route: `r${one.tasks % 3}`, priority: one.tasks % 3,
+					}),
 					tasks: Array.from({length: one.tasks}, (_, index) => ({
 						name: `${id}.${index}`, resources: room(one.cpu), estimateMs: 100, dataRack: this.labels[index % this.labels.length]![1],
 					})),
@@ -486,13 +489,18 @@
 	}
 }
 
-for (const [title, labels] of [
-	['', [[]]],
-	[', also with workers of two kinds in two racks, which leave at short notice', [['x', 'k0'], ['y', 'k1']]],
-] as const) {
+for (const [title, policy, labels] of [
+	['', {}, [[]]],
+	[', also with workers of two kinds in two racks, which leave at short notice', {}, [['x', 'k0'], ['y', 'k1']]],
+	[' with admission under shortage', {
+		urgentFirst: true, shortage: {
+			always: true, raiseAboveMs: 30, lowerBelowMs: 15, raiseMs: 150, lowerMs: 300,
+		},
+	}, [[]]],
+] as Array<[string, Partial<Policy>, ReadonlyArray<readonly string[]>]>) {
 	test(`schedule: random histories of events keep every invariant${title}`, t => {
 		const details = fc.check(fc.property(fc.array(step, {minLength: 5, maxLength: 80}), steps => {
-			const play = Play.create(labels);
+			const play = Play.create(policy, labels);
 			for (const one of steps) {
 				play.play(one);
 			}
