Refused callers are told when room is expected, and taken when they come back then

Cause: Retry-After grew with the number of waiting jobs, the same for all kinds, and a caller that came back was judged like a new one, so that it could be refused again for the same shortage. Change: where admission under shortage acts, src/decide/schedule/retry-times.ts gives the time by which the queue is short enough and the job's class is no longer held back, 1 to 5 s, one caller of a route after the other at the rate at which the pool serves them. A job that comes back then is not held back, and may wait until its latest start.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -33,6 +33,8 @@
 	longShare?: number;
 	/** The first workers, so many, leave with all that runs there and return, by the second. */
 	leave?: {count: number; from: number; to: number};
+	/** Whether refused callers come back once, when they were told to, with the same job. */
+	returns?: boolean;
 	/** Traffic of a kind by the second, times the usual. */
 	traffic(second: number, route: string): number;
 	/** The workers that are said to be gone, or slowed by a factor, by the second. */
@@ -155,6 +157,10 @@
 		leave: {count: 9, from: 4, to: 9},
 		seconds: 14,
 	},
+	/** The same with callers that come back. */
+	wReturn: {
+		...deploymentW, traffic: during(3, 9, 1.6), leave: {count: 9, from: 4, to: 9}, returns: true, seconds: 14,
+	},
 	wFlood: {...deploymentW, traffic: during(3, 11, 2.4), seconds: 14},
 	vPeak: {...deploymentV, traffic: during(3, 8, 1.55), seconds: 12},
 	vLoss: {
@@ -176,13 +182,17 @@
 };
 
 /** Tally is what the callers of one kind of job got. */
-export type Tally = {asked: number; inAim: number; late: number; tooLate: number; refused: number; failed: number; worth: number; heldRefused: number; ends: End[]};
+export type Tally = {
+	asked: number; inAim: number; late: number; tooLate: number; refused: number; failed: number; worth: number; heldRefused: number;
+	/** Callers that came back after a refusal, and those of them served in time. */
+	returned: number; servedOnReturn: number; ends: End[];
+};
 
 /** End is what became of one job, with its declared work. */
 type End = {work: number; served: boolean};
 
 /** Draw is one job with what only the model knows. */
-type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number};
+type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number; isReturn?: boolean};
 
 type Running = {until: number; ref: number; owner: string; task: string; number: number};
 
@@ -228,7 +238,7 @@
 		this.linked = load.workers.map((_, index) => rankByRendezvous(`s${index}`, entries).slice(0, load.links).map(Number));
 		for (const {route} of load.kinds) {
 			this.tallies.set(route, {
-				asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, worth: 0, heldRefused: 0, ends: [],
+				asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, worth: 0, heldRefused: 0, returned: 0, servedOnReturn: 0, ends: [],
 			});
 		}
 	}
@@ -406,8 +416,21 @@
 			}
 
 			case 'answer': {
-				this.count(this.draws.get(action.job)!, action.verdict);
+				const draw = this.draws.get(action.job)!;
 				this.draws.delete(action.job);
+				if (draw.isReturn) {
+					this.countReturn(draw, action.verdict);
+					break;
+				}
+
+				this.count(draw, action.verdict);
+				if (this.load.returns && action.verdict.kind === 'refused') {
+					this.at(Math.ceil(action.verdict.retryMs / 1000) * 1000, () => {
+						this.draws.set(action.job, {...draw, at: this.now, isReturn: true});
+						this.step(entry, {kind: 'submit', job: draw.job});
+					});
+				}
+
 				break;
 			}
 		}
@@ -550,6 +573,12 @@
 		});
 	}
 
+	private countReturn({kind, objective, at}: Draw, verdict: Verdict): void {
+		const tally = this.tallies.get(kind.route)!;
+		tally.returned++;
+		tally.servedOnReturn += Number(verdict.kind === 'completed' && this.now - at + (2 * wayMs) <= objective);
+	}
+
 	private count({
 		job, kind, objective, worth, at,
 	}: Draw, verdict: Verdict): void {
@@ -609,7 +638,7 @@
 	const all = {...loads, ...largeLoads, ...hardLoads};
 	for (const name of names.length > 0 ? names : Object.keys(loads)) {
 		const total = {
-			asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, heldRefused: 0,
+			asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, heldRefused: 0, returned: 0, servedOnReturn: 0,
 		};
 		const byRoute: Record<string, number> = {};
 		const ends = new Map<string, End[]>();
--- a/src/decide/schedule/admission.ts
+++ b/src/decide/schedule/admission.ts
@@ -5,6 +5,7 @@
 import type {Jobs} from './jobs.js';
 import {compareSortKeys, sortKeyOf} from './ordering.js';
 import type {Places} from './places.js';
+import {maxRetryMs, minRetryMs, RetryTimes} from './retry-times.js';
 import type {JobRefusal, Policy, Verdict} from './types.js';
 
 /**
@@ -12,9 +13,6 @@
  * many machines callers return some 1300 ms later, and sidecars and workers take about as long to be found.
  */
 const warmUpMs = 3000;
-/** Bounds of the retry delay suggested to a refused caller, in milliseconds. */
-const minRetryMs = 1000;
-const maxRetryMs = 5000;
 
 /** AdmissionInputs is what admission looks at: the policy, the places, learned run times and the jobs under way. */
 export type AdmissionInputs = {policy: Policy; places: Places; estimator: DurationEstimator; jobs: Jobs};
@@ -33,6 +31,7 @@
 
 	/** The state of admission while a pool is short, by pool. */
 	private readonly shortages = new Map<string, Shortage>();
+	private readonly retryTimes = RetryTimes.create();
 
 	private constructor(private readonly inputs: AdmissionInputs) {}
 
@@ -70,8 +69,9 @@
 		}
 
 		const applicant = applicantOf(activeJob);
-		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job.pool, waitingWorkIn(this.inputs, job.pool)), now);
-		const mayWaitLonger = isTooLate && shortage.isBelowFloor(applicant) && this.expectedMs(activeJob, now) <= activeJob.latestStartAt - now;
+		const isExpected = shortage.acts && this.retryTimes.isExpected(job.id, now);
+		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job.pool, waitingWorkIn(this.inputs, job.pool)), now) && !isExpected;
+		const mayWaitLonger = isTooLate && (isExpected || shortage.isBelowFloor(applicant)) && this.expectedMs(activeJob, now) <= activeJob.latestStartAt - now;
 		if (mayWaitLonger) {
 			activeJob.refuseAt = Math.max(refuseAt, activeJob.latestStartAt);
 		}
@@ -100,7 +100,7 @@
 			...(this.inputs.policy.shortage && {level: Number((this.shortages.get(activeJob.job.pool)?.level ?? 0).toFixed(1))}),
 		};
 		return {
-			kind: 'refused', why, retryMs: this.retryMs(), inputs,
+			kind: 'refused', why, retryMs: this.retryMs(activeJob, why, now), inputs,
 		};
 	}
 
@@ -150,7 +150,17 @@
 		return now - this.firstPlaceAt < warmUpMs;
 	}
 
-	private retryMs(): number {
+	private retryMs(activeJob: ActiveJob, why: JobRefusal, now: number): number {
+		const {job: {id, route, pool}, refuseAt, arrivedAt} = activeJob;
+		const shortage = this.shortages.get(pool);
+		if (why === 'overloaded' && shortage?.acts) {
+			const applicant = applicantOf(activeJob);
+			const excessMs = Math.max(0, this.expectedMs(activeJob, now) - (refuseAt - arrivedAt));
+			return Math.round(this.retryTimes.suggest({
+				id, route, expectedMs: excessMs + shortage.recoveryMs(applicant), workMs: this.queueMs(pool, applicant.work),
+			}, now));
+		}
+
 		return Math.min(maxRetryMs, minRetryMs + (this.inputs.jobs.pendingCount() * 50));
 	}
 }
--- a/src/decide/shortage.ts
+++ b/src/decide/shortage.ts
@@ -85,6 +85,11 @@
 		return false;
 	}
 
+	/** How long the level takes to fall so far that jobs of this class are no longer held back, in milliseconds. */
+	recoveryMs(applicant: Applicant): number {
+		return Math.max(0, this.level - this.rankOf(applicant)) * this.settings.lowerMs;
+	}
+
 	/** Whether the pool's jobs differ in priority, or it always acts. */
 	get acts(): boolean {
 		const [first, ...others] = this.routes.values();
