Admission under shortage: none waits longer than the stop of its entry allows

Cause: a job that may wait until its latest start, by its floor or because it came when told, was judged by its usual patience against the time at which a stopping entry ends, so that it could end after it. Change: it may wait longer only where it should still end in time; a table of cases covers this and the return of a caller.

--- a/src/decide/schedule/admission.ts
+++ b/src/decide/schedule/admission.ts
@@ -46,7 +46,7 @@
 		return objective * (this.isWarmingUp(now) ? settlingShare : patienceShare);
 	}
 
-	/** Decides on admission: returns why a new job is refused, or undefined to admit it. */
+	/** Decides on admission: returns why a new job is refused, or undefined to admit it. A job that may wait longer for its floor gets a later `refuseAt`. */
 	refusalReason(activeJob: ActiveJob, now: number): JobRefusal | undefined {
 		const {job, tasks, refuseAt, arrivedAt, longestMs} = activeJob;
 		if (refuseAt + (longestMs * this.inputs.policy.margin) > this.stopsAt) {
@@ -71,9 +71,11 @@
 		const applicant = applicantOf(activeJob);
 		const isExpected = shortage.acts && this.retryTimes.isExpected(job.id, now);
 		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job.pool, waitingWorkIn(this.inputs, job.pool)), now) && !isExpected;
-		const mayWaitLonger = isTooLate && (isExpected || shortage.isBelowFloor(applicant)) && this.expectedMs(activeJob, now) <= activeJob.latestStartAt - now;
+		const latest = Math.max(refuseAt, activeJob.latestStartAt);
+		const mayWaitLonger = isTooLate && (isExpected || shortage.isBelowFloor(applicant))
+			&& this.expectedMs(activeJob, now) <= latest - now && latest + (longestMs * this.inputs.policy.margin) <= this.stopsAt;
 		if (mayWaitLonger) {
-			activeJob.refuseAt = Math.max(refuseAt, activeJob.latestStartAt);
+			activeJob.refuseAt = latest;
 		}
 
 		const isAdmitted = mayWaitLonger || !(isHeldBack || isTooLate);
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -489,6 +489,28 @@
 	}
 }
 
+/** Guards against a refusal of a caller that came when told, and against a job that waits so long that it ends after its entry. */
+for (const [title, at, until, last] of [
+	['a caller that comes back when told may wait until its latest start', 1000, 60_000, []],
+	['a caller that comes back too early is refused again', 999, 60_000, ['answer j refused overloaded']],
+	['none may wait so long that it could end after the entry stops', 1000, 1280, ['answer j refused overloaded']],
+] as Array<[string, number, number, string[]]>) {
+	test(`schedule: under shortage, ${title}`, t => {
+		const schedule = Schedule.create({
+			shortage: {
+				always: true, raiseAboveMs: 1000, lowerBelowMs: 500, raiseMs: 150, lowerMs: 300,
+			},
+		});
+		schedule.step({kind: 'told', place: 'old', report: place({hindrance: 'absent'})}, -settledMs);
+		schedule.step(told(), 0);
+		// Two of its tasks wait for 80 ms, where job j is to start within 40 ms and can start within 120 ms.
+		schedule.step(submit({id: 'k', aimMs: 15_000, leftMs: 60_000}, 4), 0);
+		t.deepEqual(schedule.step(submit(), 0).map(action => short(action)), ['answer j refused overloaded']);
+		schedule.step({kind: 'stopping', until}, 0);
+		t.deepEqual(schedule.step(submit(), at).map(action => short(action)), last);
+	});
+}
+
 for (const [title, policy, labels] of [
 	['', {}, [[]]],
 	[', also with workers of two kinds in two racks, which leave at short notice', {}, [['x', 'k0'], ['y', 'k1']]],
