Test of the scale of slowness draws its runs from a seed

Cause: a failure printed 1000 runs, many lines long. Change: the property draws a seed, from which the runs follow; the bound is as it was. Measured: test/duration-estimator passes; without the change it guards the property fails.

--- a/test/duration-estimator.test.ts
+++ b/test/duration-estimator.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {seededRandom} from '../src/adapters/random.js';
 import {DurationEstimator} from '../src/decide/duration-estimator.js';
 import {maxRatio, RatioQuantiles} from '../src/decide/ratio-quantiles.js';
 
@@ -123,13 +124,15 @@
 /** Guards against a scale that nothing holds: without the prior of 1 all places of one kind could drift off, and the times of the routes, which targets are made of, the other way. */
 test('kinds: in a pool of one kind the times of routes stay those learned without kinds', t => {
 	t.notThrows(() => {
-		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(19), fc.double({min: 0.6, max: 1.4, noNaN: true}), fc.nat(32)), {minLength: 1000, maxLength: 1000}), runs => {
+		fc.assert(fc.property(fc.integer({min: 0}), seed => {
+			const random = seededRandom(seed);
+			const runs = Array.from({length: 1000}, () => [Math.floor(random.next() * 20), 0.6 + (0.8 * random.next()), random.next()] as const);
 			const [plain, labelled] = [false, true].map(hasKind => {
 				const estimator = DurationEstimator.create();
 				for (const [place, ratio, long] of runs) {
 					estimator.assignKind(`${place}`, hasKind ? {pool: 'p', name: 'k'} : undefined);
 					estimator.observe({
-						route: 'r', place: `${place}`, ranMs: 1000 * ratio * (long === 0 ? 7 : 1), declaredMs: 1000,
+						route: 'r', place: `${place}`, ranMs: 1000 * ratio * (long < 0.03 ? 7 : 1), declaredMs: 1000,
 					});
 				}
 
