Entry: jobs are refused under overload before their bodies are read, and read within a share of each turn

Cause: an entry took whatever callers sent. Jobs read in one turn of the event loop held up the heartbeats of its links, so that sidecars took the loaded entry for a lost one and stopped its runs. The kernel takes megabytes before a slow link has sent them, so bytes written count until the rate has passed on as many. Read jobs are admitted for at most 10 ms of a turn; those of callers that have left are dropped. A job under way here, or that may have run in the last 30 s, is not refused so, since the refusal could be untrue. Counter sniperidge_jobs_shed_total{why}; log lines shed and overload. Measured: tests overload (16) and entry-overload (3) pass. With the switch off, the link test of the burst fails, the sidecar ends the link as silent, and the test of callers that left does not end.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -4,6 +4,7 @@
 	Schedule, type Action, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
 import type {Departure} from '../decide/departure.js';
+import {LoopDelay, type EntryLoad} from '../decide/overload.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -47,6 +48,9 @@
 /** How long changes of the addresses of entries are collected before they are sent to sidecars, in milliseconds: at a start there is one change per entry. */
 const announceDelayMs = 100;
 
+/** How long an ended job that may have run is remembered, in milliseconds: as long as by the schedule. */
+const startedJobRetentionMs = 30_000;
+
 /** The longest stay that a draining worker may state, in milliseconds. */
 const maxRemainingMs = 3_600_000;
 
@@ -90,6 +94,8 @@
 	/** The sidecars that hold a job's text, by job. */
 	private readonly textHolders = new Map<string, Set<Sidecar>>();
 	private readonly waiters = new Map<string, Set<Waiter>>();
+	/** When to forget that an ended job may have run, by job id, in order of time. */
+	private readonly startedJobs = new Map<string, number>();
 	private desired = {asOf: 0, text: '', digest: ''};
 	private out: readonly string[] = [];
 	/** When the timer for the next refusal fires; no job that has not begun is due to be refused before. */
@@ -101,6 +107,7 @@
 	private fetchTimer?: NodeJS.Timeout;
 	private fetches = 0;
 	private readonly timer: NodeJS.Timeout;
+	private readonly loopDelay = LoopDelay.create(tickMs);
 
 	private constructor(
 		private readonly settings: DispatcherSettings,
@@ -120,15 +127,18 @@
 		});
 		this.addAddresses(settings.seeds, true);
 		this.timer = setInterval(() => {
+			this.loopDelay.fired(this.clock.mono());
 			if (this.schedule.jobCount > 0) {
 				this.apply({kind: 'tick'});
 			}
 		}, tickMs);
 	}
 
-	/** The bytes that the sockets of all links have not yet passed to the operating system. */
-	get unsentBytes(): number {
-		return this.links.unsentBytes;
+	/** The figures of the load that jobs and links put on this process. */
+	get load(): EntryLoad {
+		return {
+			loopDelayMs: this.loopDelay.valueAt(this.clock.mono()), unsentBytes: this.links.unsentBytes, writtenBytes: this.links.writtenBytes, jobs: this.schedule.jobCount,
+		};
 	}
 
 	/**
@@ -150,6 +160,11 @@
 		};
 	}
 
+	/** Returns whether a job is under way here, or may have run under an earlier submission: a refusal without a look at it could be wrong. */
+	mayHaveRun(job: string): boolean {
+		return this.waiters.has(job) || (this.startedJobs.get(job) ?? 0) > this.clock.mono();
+	}
+
 	/** Cancels a job. Returns whether it was under way here. */
 	cancel(job: string): boolean {
 		const known = this.waiters.has(job);
@@ -343,6 +358,10 @@
 		}
 
 		this.waiters.delete(job);
+		if (this.schedule.jobState(job) === 'running') {
+			this.rememberStarted(job);
+		}
+
 		this.log.info({event: 'left', job}, 'caller left, stopping the tasks of its job');
 		this.apply({kind: 'left', job});
 		this.releaseTexts(job);
@@ -551,6 +570,10 @@
 				const waiters = this.waiters.get(action.job);
 				this.waiters.delete(action.job);
 				this.releaseTexts(action.job);
+				if (action.verdict.kind !== 'refused') {
+					this.rememberStarted(action.job);
+				}
+
 				for (const answer of waiters ?? []) {
 					answer(action.verdict);
 				}
@@ -560,6 +583,20 @@
 		}
 	}
 
+	private rememberStarted(job: string): void {
+		const now = this.clock.mono();
+		for (const [other, until] of this.startedJobs) {
+			if (now < until) {
+				break;
+			}
+
+			this.startedJobs.delete(other);
+		}
+
+		this.startedJobs.delete(job);
+		this.startedJobs.set(job, now + startedJobRetentionMs);
+	}
+
 	private sendStart({place, ref, job, task}: StartAction): void {
 		const sidecar = this.sidecars.get(place);
 		this.meters.orders.inc({kind: 'start'});
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -66,6 +66,7 @@
 	/** The number of messages of unknown kinds, which a later version may send. */
 	unknownCount = 0;
 
+
 	/** The other side's network address, as host:port. */
 	readonly remoteAddress: string;
 
@@ -402,6 +403,11 @@
 		return sum;
 	}
 
+	/** The bytes written to all links so far, those that have ended included. */
+	get writtenBytes(): number {
+		return this.traffic.entry.out + this.traffic.sidecar.out + this.traffic.stranger.out;
+	}
+
 	/** Opens a link to an address, as host:port. Resolves to `undefined` if it cannot be reached within `connectMs`. */
 	async dial(address: string): Promise<Link | undefined> {
 		const [host, port] = splitAddress(address);
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -44,6 +44,7 @@
 	readonly registry = new Registry();
 	readonly jobs = counter(this.registry, 'jobs_total', 'Jobs by route and how they ended.', ['route', 'verdict']);
 	readonly unsupportedJobs = counter(this.registry, 'jobs_unsupported_total', 'Jobs refused for a field that is not served.', ['field']);
+	readonly shedJobs = counter(this.registry, 'jobs_shed_total', 'Jobs refused or dropped before they were decoded, by reason.', ['why']);
 	readonly orders = counter(this.registry, 'orders_total', 'Starts, stops and wishes for room sent to sidecars.', ['kind']);
 	readonly refusedOrders = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
 	readonly movedRuns = counter(this.registry, 'runs_moved_total', 'Runs stopped to be started elsewhere because their worker leaves.', []);
--- a/src/settings/policy.ts
+++ b/src/settings/policy.ts
@@ -6,7 +6,17 @@
 /** Bytes and order on the links between entries and sidecars. */
 const links = z.strictObject({enabled}).prefault({});
 /** What an entry takes on while it is short of processor time or bandwidth. */
-const overload = z.strictObject({enabled}).prefault({});
+const overload = z.strictObject({
+	enabled,
+	/** The delay by the event loop, by the link or before admission above which new jobs are refused, in milliseconds. */
+	delayLimitMs: z.number().min(5).max(1000).default(50),
+	/** Jobs are taken again once all figures are below this share of their limits. */
+	leaveShare: z.number().min(0).max(1).default(0.5),
+	/** The jobs in hand for each core of the entry above which new ones are refused. */
+	jobsPerCore: z.int().min(10).max(100_000).default(1000),
+	/** The time that new jobs may take of one turn of the event loop, in milliseconds. What else is ready goes before further ones. */
+	turnMs: z.number().min(1).max(100).default(10),
+}).prefault({});
 /** Admission while the pool of workers is short. */
 const shortage = z.strictObject({
 	enabled,
