Bench: what an entry serves under overload, bound by its processor or by its links

Cause: how an entry behaves beyond what it can serve was known from deployments alone. Change: npm run bench -- overload holds an entry to 0.3 of a core (stopped for the rest of each 100 ms once its share is used) or its links to 800 kB/s in each direction (proxy of the tests), and plays 0.5, 1, 2 and 4 times what it can serve by the measured cost of a job, with the part off and on side by side.

--- a/bench/entry-load.ts
+++ b/bench/entry-load.ts
@@ -4,14 +4,13 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import type {EntryLoad} from '../src/decide/overload.js';
 import {round} from './account.js';
 import type {CallerCommand, Seen} from './callers-process.js';
 import {entries as entryCount, jobsPerSecond, workers} from './entry-jobs.js';
-import type {EntryCommand} from './entry-process.js';
+import type {EntryCommand, EntryOptions} from './entry-process.js';
 import type {Shares} from './profile.js';
 
-/** The kept connections of the callers. */
-const connections = 256;
 /** What is left out at the start, and what is measured, in milliseconds. The load is higher at the start, so that the code that serves it is compiled. */
 const warmUpMs = 5000;
 const warmUpFactor = 3;
@@ -21,16 +20,27 @@
 const seed = 1;
 const linksPollMs = 100;
 
-type Usage = {cpuMs: number; systemMs: number; droppedLines: number; linked: number};
+type Usage = {cpuMs: number; systemMs: number; droppedLines: number; linked: number; load: EntryLoad};
+
+/** SceneOptions are the kept connections of the callers to each entry, the options of the entries, and what stands before the address for links, such as a proxy. */
+export type SceneOptions = {connections?: number; options?: EntryOptions; addressFor?(links: string): Promise<string>};
 
 /** Scene is one entry or several with the sidecars and callers that they share; each entry is a process of its own. */
 export class Scene {
 	/** Starts a scene. Each of `roots` is the folder of the compiled code that an entry runs. */
-	static async create(roots: readonly string[], {capacityFactor = 1}: {capacityFactor?: number} = {}): Promise<Scene> {
-		const entries = roots.map(root => start(path.join(root, 'bench/entry-process.js')));
-		const addresses = await Promise.all(entries.map(async entry => replyOf<{front: number; links: string}>(entry)));
+	static async create(roots: readonly string[], {connections = 256, options, addressFor}: SceneOptions = {}): Promise<Scene> {
+		const entries = roots.map(root => start(path.join(root, 'bench/entry-process.js'), options && [JSON.stringify(options)]));
+		const addresses = await Promise.all(entries.map(async entry => {
+			const {front, links} = await replyOf<{front: number; links: string}>(entry);
+			const address = await addressFor?.(links);
+			if (address !== undefined) {
+				await ask(entry, `announce ${address}` satisfies EntryCommand);
+			}
+
+			return {front, links: address ?? links};
+		}));
 		const sidecars = start(own('sidecars-process.js'));
-		await ask(sidecars, {seeds: addresses.map(({links}) => links), capacityFactor});
+		await ask(sidecars, {seeds: addresses.map(({links}) => links)});
 		const callers = start(own('callers-process.js'), [String(seed), String(connections), ...addresses.map(({front}) => String(front))]);
 		const scene = new Scene(entries, sidecars, callers);
 		await scene.linked();
@@ -116,7 +126,7 @@
 	}));
 }
 
-export type EntryOptions = {
+export type MeasureOptions = {
 	/** Jobs a second; by default an entry's share of those of deployment V. */
 	rate?: string;
 	/** The folder of the compiled code before, which is measured side by side with this one. */
@@ -125,7 +135,7 @@
 };
 
 /** Measures the processor time of a job at an entry, and prints it with its shares by part. */
-export async function measureEntry({rate, before, rounds}: EntryOptions): Promise<void> {
+export async function measureEntry({rate, before, rounds}: MeasureOptions): Promise<void> {
 	const perSecond = rate === undefined ? jobsPerSecond / entryCount : Number(rate);
 	const now = fileURLToPath(new URL('..', import.meta.url));
 	const ratios: number[] = [];
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -38,6 +38,12 @@
 		return;
 	}
 
+	if (scenario === 'overload') {
+		const {measureOverload} = await import('./overload.js');
+		await measureOverload(positionals[1]);
+		return;
+	}
+
 	if (scenario === 'decide') {
 		const {timeDecisions} = await import('./decide.js');
 		timeDecisions([[11, 20], [160, 20], [160, 100], [160, 300], [314, 300]]);
--- a/bench/sidecars-process.ts
+++ b/bench/sidecars-process.ts
@@ -60,16 +60,15 @@
 	};
 }
 
-process.on('message', ({seeds, capacityFactor}: {seeds: string[]; capacityFactor: number}) => {
+process.on('message', ({seeds}: {seeds: string[]}) => {
 	for (let index = 0; index < workers; index++) {
 		const driver = Driver.create({
 			node: `s${index}`, incarnation: `s${index}-1`, zone: 'z', seeds, leaseMs,
 		}, {
 			clock: systemClock, executor: openWorker(), log: pino({level: 'silent'}), metrics: DriverMetrics.create(),
 		});
-		const capacity = capacityOf(index);
 		driver.workerReported({
-			incarnation: `w${index}`, born: 1, pool: 'pool', capacity: {...capacity, cpu: capacity.cpu * capacityFactor}, labels: [], draining: false,
+			incarnation: `w${index}`, born: 1, pool: 'pool', capacity: capacityOf(index), labels: [], draining: false,
 		}, Math.round(systemClock.mono()));
 	}
 
