--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -66,7 +66,6 @@
 	/** The number of messages of unknown kinds, which a later version may send. */
 	unknownCount = 0;
 
-
 	/** The other side's network address, as host:port. */
 	readonly remoteAddress: string;
 
