Tests: jobs are served whichever side has the features of the links switched off

Links between an entry and a sidecar of which one has the section `links` off are those of two versions, and no test ran a job over them from end to end.

--- a/test/ephemeral-cluster.ts
+++ b/test/ephemeral-cluster.ts
@@ -6,6 +6,7 @@
 import {Driver} from '../src/ephemeral/driver.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import type {Executor} from '../src/ports/executor.js';
+import type {PolicySettings} from '../src/settings/policy.js';
 import {ModelWorker, type RunPlan} from './model-worker.js';
 
 export const leaseMs = 1000;
@@ -56,12 +57,14 @@
 	return executor;
 }
 
-export type DriverOptions = {seeds: readonly string[]; executor: Executor; metrics?: DriverMetrics};
+export type DriverOptions = {seeds: readonly string[]; executor: Executor; metrics?: DriverMetrics; policy?: PolicySettings};
 
 /** Starts a sidecar whose worker has reported itself; it ends with the test. */
-export function startDriver(t: ExecutionContext, node: string, {seeds, executor, metrics: meters = DriverMetrics.create()}: DriverOptions): Driver {
+export function startDriver(t: ExecutionContext, node: string, {
+	seeds, executor, metrics: meters = DriverMetrics.create(), policy,
+}: DriverOptions): Driver {
 	const driver = Driver.create({
-		node, incarnation: `${node}-1`, zone: 'z', seeds, leaseMs,
+		node, incarnation: `${node}-1`, zone: 'z', seeds, leaseMs, policy,
 	}, {
 		clock: systemClock, executor, log: silentLog, metrics: meters,
 	});
--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -14,6 +14,7 @@
 import {features, type ReceivedMessage} from '../src/ephemeral/messages.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import {HeldTexts, SentTexts} from '../src/ephemeral/spec-texts.js';
+import {policySettings} from '../src/settings/policy.js';
 import {
 	createExecutor, createJob, leaseMs, room, silentLog, startDriver, submit, waitUntil,
 } from './ephemeral-cluster.js';
@@ -379,3 +380,28 @@
 		t.is(await ended, 'malformed');
 	});
 }
+
+for (const [entrySide, sidecarSide] of [['off', 'auto'], ['auto', 'off'], ['off', 'off'], ['auto', 'auto']] as const) {
+	// Guards against a feature that is used though one side has it switched off, or has no such feature.
+	test(`link features: jobs are served with the links of the entry ${entrySide} and those of the sidecar ${sidecarSide}`, async t => {
+		const entry = await Dispatcher.create({
+			node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [], policy: policySettings.parse({links: {enabled: entrySide}}),
+		}, systemClock, silentLog, DispatcherMetrics.create());
+		t.teardown(() => {
+			entry.close();
+		});
+		const sent: Array<ReceivedMessage['kind']> = [];
+		entry.onFlush = messages => {
+			sent.push(...messages.map(({kind}) => kind as ReceivedMessage['kind']));
+		};
+
+		const worker = ModelWorker.create(room, leaseMs);
+		startDriver(t, 's', {
+			seeds: [entry.address], executor: createExecutor(worker, {resources: {...room, cpu: 4}, durationMs: 20, ending: 'done'}), policy: policySettings.parse({links: {enabled: sidecarSide}}),
+		});
+		await waitUntil(() => entry.schedule.placeCounts.open === 1);
+		t.deepEqual(await submit(entry, createJob('j', 4)), {kind: 'completed'});
+		t.deepEqual(worker.violations, []);
+		t.is(sent.filter(kind => kind === 'spec').length, entrySide === 'auto' && sidecarSide === 'auto' ? 1 : 0);
+	});
+}
