Guard: one reservation a worker, with backfill

Large requests wait while small tasks start in the gaps that they need. The guard may now keep one reservation for at most 300 ms, starts beside it only what ends before the reserved start or leaves its capacity free then, and takes none for as long as the last one stood. It is granted only where known ends free the capacity in time. Without lookAhead the guard acts as before.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -2,6 +2,9 @@
 	EndedRun, PollResult, WorkerRefusal, Reply, RunId,
 } from '../ports/executor.js';
 import {consecutiveFailureLimit} from './outlier-ejection.js';
+import {
+	expectedReleases, expectedStart, mayBackfill, nextReservationAt, reservationMs, reservedStart, type ExpectedEnd, type Occupancy, type Release, type Reservation,
+} from './reservation.js';
 import {addResources, fits, type Resources} from './resources.js';
 
 /** RunRequest is an entry's request to run a task here. `ref` identifies it at that entry. */
@@ -13,6 +16,8 @@
 	spec: string;
 	/** The latest time at which the entry can have sent it, in worker-clock milliseconds. */
 	sentAt: number;
+	/** The run time that the entry expects here, in milliseconds. */
+	expectedMs?: number;
 };
 
 /** Worker describes one incarnation of a worker as the worker reports it. */
@@ -41,8 +46,8 @@
 	/** `hung`: the owner believes that the run makes no progress. */
 		| {kind: 'cancel'; owner: string; ref: number; hung: boolean}
 		| {kind: 'ownerLost'; owner: string}
-	/** The owner has a queued task that needs these resources and should begin within `dueMs`. Stands until the owner gets an offer or is lost. */
-		| {kind: 'want'; owner: string; resources: Resources; dueMs: number}
+	/** The owner has a queued task that needs these resources and should begin within `dueMs`. Stands until the owner gets an offer, requests something else or is lost. `reserve`: asks for a reservation too. */
+		| {kind: 'want'; owner: string; resources: Resources; dueMs: number; reserve?: boolean}
 		| {kind: 'reported'; worker: Worker}
 		| {kind: 'left'; incarnation: string}
 		| {kind: 'started'; run: RunId; reply: Reply}
@@ -83,7 +88,7 @@
 	/** A stop was sent; the run holds its capacity until a poll shows that it ended. */
 		| 'stopping';
 
-type CapacityRequest = {owner: string; resources: Resources; dueAt: number};
+type CapacityRequest = {owner: string; resources: Resources; dueAt: number; reserveUntil: number};
 
 type ActiveRun = {
 	run: RunId;
@@ -110,8 +115,9 @@
  * is known or the order can no longer take effect.
  */
 export class Guard {
-	static create(): Guard {
-		return new Guard();
+	/** `lookAhead`: whether reservations are kept. */
+	static create({lookAhead = false}: {lookAhead?: boolean} = {}): Guard {
+		return new Guard(lookAhead);
 	}
 
 	/** The worker's current incarnation; nothing starts before it is known. */
@@ -124,6 +130,9 @@
 	private readonly capacityRequests = new Map<string, CapacityRequest>();
 	/** The capacity reserved for each owner. */
 	private readonly capacityOffers = new Map<string, {resources: Resources; until: number}>();
+	/** The reservation that stands, and the earliest time of the next. */
+	private reservation: Reservation | undefined;
+	private reservableFrom = 0;
 	/** Runs found at the worker that this guard did not start, by task. */
 	private readonly orphanRuns = new Map<string, RunId>();
 	/** The highest known run number of each task. */
@@ -138,6 +147,8 @@
 	/** Runs in a row, of any owner, that failed or hung. */
 	private consecutiveFailures = 0;
 
+	private constructor(private readonly lookAhead: boolean) {}
+
 	/** Whether polls are needed, to renew leases, collect ends or find out whether the worker answers again. */
 	get needsPolling(): boolean {
 		return this.runs.size > 0 || this.mayHaveOrphans || this.orphanRuns.size > 0 || this.unansweredPolls > 0;
@@ -197,6 +208,19 @@
 		return sum;
 	}
 
+	/** Returns the expected releases of all runs whose expected time is known. */
+	releases(now: number): Release[] {
+		return this.lookAhead ? expectedReleases(this.expectedEnds(), now) : [];
+	}
+
+	/** Returns in how many milliseconds the reserved task of another owner should start, and its cpu; undefined where there is no such reservation. */
+	reservedByOthers(owner: string, now: number): Release | undefined {
+		this.endExpiredReservation(now);
+		return this.reservation && this.reservation.owner !== owner
+			? [Math.round(reservedStart(this.reservation, this.occupancy(now), now) - now), this.reservation.resources.cpu]
+			: undefined;
+	}
+
 	/** Returns the names of the owner's tasks that hold capacity. */
 	tasksOf(owner: string): string[] {
 		return [...this.runs.values()].filter(({request}) => request.owner === owner).map(({request}) => request.task);
@@ -215,6 +239,7 @@
 	/** Handles one event. `now` is in monotonic milliseconds. */
 	step(event: Event, now: number): Action[] {
 		const actions: Action[] = [];
+		this.endExpiredReservation(now);
 		switch (event.kind) {
 			case 'request': {
 				this.handleRequest(event.request, event.clock, now, actions);
@@ -232,12 +257,16 @@
 			}
 
 			case 'want': {
+				this.endReservationOf(event.owner, now);
 				this.capacityRequests.delete(event.owner);
-				this.capacityRequests.set(event.owner, {owner: event.owner, resources: event.resources, dueAt: now + event.dueMs});
+				this.capacityRequests.set(event.owner, {
+					owner: event.owner, resources: event.resources, dueAt: now + event.dueMs, reserveUntil: this.lookAhead && event.reserve ? now + reservationMs : 0,
+				});
 				break;
 			}
 
 			case 'ownerLost': {
+				this.endReservationOf(event.owner, now);
 				this.capacityRequests.delete(event.owner);
 				this.capacityOffers.delete(event.owner);
 				for (const active of this.runs.values()) {
@@ -295,17 +324,20 @@
 		}
 
 		this.offerFreeCapacity(now, actions);
+		this.grantReservation(now);
 		return actions;
 	}
 
-	/** Offers free capacity to the owners that requested some, earliest due time first, for one task each. */
+	/** Offers free capacity to the owners that requested some, the owner of the reservation first, then by due time, for one task each. */
 	private offerFreeCapacity(now: number, actions: Action[]): void {
 		if (this.capacityRequests.size === 0 || this.startRefusal) {
 			return;
 		}
 
-		for (const request of [...this.capacityRequests.values()].toSorted((a, b) => a.dueAt - b.dueAt)) {
-			if (this.hasCapacityFor(request.owner, request.resources, now)) {
+		const isReserved = ({owner}: CapacityRequest): number => Number(owner === this.reservation?.owner);
+		for (const request of [...this.capacityRequests.values()].toSorted((a, b) => (isReserved(b) - isReserved(a)) || (a.dueAt - b.dueAt))) {
+			if (this.hasCapacityFor(request.owner, request.resources, now) && this.respectsReservation(request, now)) {
+				this.endReservationOf(request.owner, now);
 				this.capacityRequests.delete(request.owner);
 				this.capacityOffers.set(request.owner, {resources: request.resources, until: now + offerHoldMs});
 				actions.push({kind: 'offer', owner: request.owner});
@@ -313,6 +345,57 @@
 		}
 	}
 
+	/** Grants a reservation to the first owner that asked for one whose capacity should be free before it would expire. */
+	private grantReservation(now: number): void {
+		if (this.reservation !== undefined || now < this.reservableFrom || this.startRefusal !== undefined) {
+			return;
+		}
+
+		for (const request of this.capacityRequests.values()) {
+			const startAt = now < request.reserveUntil ? expectedStart(this.occupancy(now), request.resources, now) : undefined;
+			if (startAt !== undefined && startAt <= request.reserveUntil) {
+				this.reservation = {
+					owner: request.owner, resources: request.resources, since: now, until: request.reserveUntil,
+				};
+				return;
+			}
+		}
+	}
+
+	private endReservationOf(owner: string, now: number): void {
+		if (this.reservation?.owner === owner) {
+			this.reservableFrom = nextReservationAt(this.reservation, now);
+			this.reservation = undefined;
+		}
+	}
+
+	private endExpiredReservation(now: number): void {
+		if (this.reservation && now >= this.reservation.until) {
+			this.endReservationOf(this.reservation.owner, now);
+		}
+	}
+
+	/** Whether a task that fits may start in spite of the reservation. The reserved task itself is known by its owner and size. */
+	private respectsReservation({owner, resources, expectedMs}: {owner: string; resources: Resources; expectedMs?: number}, now: number): boolean {
+		const {reservation} = this;
+		if (reservation === undefined) {
+			return true;
+		}
+
+		const isReserved = owner === reservation.owner && fits(reservation.resources, resources);
+		return isReserved || mayBackfill(reservation, this.occupancy(now), {resources, expectedMs}, now);
+	}
+
+	private occupancy(now: number): Occupancy {
+		return {free: this.freeCapacity('', now), ends: this.expectedEnds()};
+	}
+
+	private expectedEnds(): ExpectedEnd[] {
+		return [...this.runs.values()].flatMap(({request: {resources, expectedMs}, startedAt, orderedAt}) => expectedMs === undefined
+			? []
+			: [{resources, endsAt: (startedAt ?? orderedAt) + expectedMs}]);
+	}
+
 	private capacityHeldBy(owner: string): Resources {
 		const sum = {cpu: 0, memoryMb: 0, accelerators: 0};
 		for (const {request} of this.runs.values()) {
@@ -325,10 +408,15 @@
 	}
 
 	private hasCapacityFor(owner: string, resources: Resources, now: number): boolean {
+		return fits(resources, this.freeCapacity(owner, now));
+	}
+
+	/** Returns the capacity that is free for an owner: what is in use and what is offered to others is not. */
+	private freeCapacity(owner: string, now: number): Resources {
 		const free = {...this.worker!.capacity};
 		addResources(free, this.capacityHeldByOthers(owner, now), -1);
 		addResources(free, this.capacityHeldBy(owner), -1);
-		return fits(resources, free);
+		return free;
 	}
 
 	private handleRequest(request: RunRequest, clock: number, now: number, actions: Action[]): void {
@@ -341,6 +429,10 @@
 		}
 
 		this.capacityOffers.delete(request.owner);
+		if (this.reservation && fits(this.reservation.resources, request.resources)) {
+			this.endReservationOf(request.owner, now);
+		}
+
 		const run = {task: request.task, number: (this.runNumbers.get(request.task) ?? 0) + 1};
 		this.rememberNumber(run);
 		this.runs.set(request.task, {
@@ -358,7 +450,7 @@
 			return 'duplicate';
 		}
 
-		return this.hasCapacityFor(request.owner, request.resources, now) ? undefined : 'room';
+		return this.hasCapacityFor(request.owner, request.resources, now) && this.respectsReservation(request, now) ? undefined : 'room';
 	}
 
 	private handleReport(worker: Worker, now: number, actions: Action[]): void {
