Placement: a reservation for the most urgent large task, off unless switched on

Large tasks wait while other entries start small ones in the gaps. An entry may now ask the place where its most urgent large task should end first to keep the capacity, tells sidecars expected run times, and keeps its own tasks from what is reserved; room carries expected releases and another entry's reservation. Figures out of range are ignored, counted and logged once a link.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -11,9 +11,10 @@
 import {rankByRendezvous} from '../src/decide/rendezvous.js';
 import type {Resources} from '../src/decide/resources.js';
 import type {Random} from '../src/ports/random.js';
+import {SizeReport, unevenLoads} from './look-ahead.js';
 
 /** Kind is one kind of job: how many a second, and how its tasks are drawn. Times in milliseconds. */
-type Kind = {route: string; perSecond: number; width: number; widest: number; meanMs: number; longestMs: number; attempts: number; priority: number; worth: number};
+export type Kind = {route: string; perSecond: number; width: number; widest: number; meanMs: number; longestMs: number; attempts: number; priority: number; worth: number; taskCpu?: number};
 
 /** Load is what is played: the kinds, the workers, and what goes wrong when. */
 export type Load = {
@@ -191,8 +192,11 @@
 /** End is what became of one job, with its declared work. */
 type End = {work: number; served: boolean};
 
-/** Draw is one job with what only the model knows. */
-type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number; isReturn?: boolean};
+/** Draw is one job with what only the model knows: the times of its tasks in milliseconds, and when each was last started, by its number. */
+type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number; startedAt: number[]; isReturn?: boolean};
+
+/** EndedJob is a job with the verdict on it and when it came, in milliseconds from the submission. */
+export type EndedJob = Draw & {verdict: Verdict; tookMs: number};
 
 type Running = {until: number; ref: number; owner: string; task: string; number: number};
 
@@ -203,6 +207,8 @@
 	}
 
 	readonly tallies = new Map<string, Tally>();
+	/** All jobs that have ended, in order. */
+	readonly ended: EndedJob[] = [];
 	/** Starts refused by guards. */
 	refusals = 0;
 	starts = 0;
@@ -210,6 +216,8 @@
 	failures = 0;
 	/** The entries with a link, by worker. */
 	readonly linked: ReadonlyArray<readonly number[]>;
+	/** The largest share of a worker that was ever in use. */
+	mostUsed = 0;
 	/** How often a worker was asked for room. */
 	wants = 0;
 	/** Thousandths of a core times milliseconds that were in use. */
@@ -230,7 +238,7 @@
 
 	private constructor(private readonly load: Load, policy: Partial<Policy>, private readonly random: Random) {
 		this.schedules = Array.from({length: load.entries}, () => Schedule.create(policy));
-		this.guards = load.workers.map(() => Guard.create());
+		this.guards = load.workers.map(() => Guard.create({lookAhead: policy.lookAhead !== undefined && policy.lookAhead !== 'off'}));
 		this.running = load.workers.map(() => new Map<string, Running>());
 		this.busyUntil = this.schedules.map(() => 0);
 		this.births = load.workers.map(() => 1);
@@ -332,11 +340,11 @@
 		const meanMs = Math.min(kind.longestMs, kind.meanMs * this.spread(0.4));
 		const workMs = Array.from({length: width}, () => meanMs * this.spread(unevenness) * (this.load.longShare && this.random.next() < this.load.longShare ? longFactor : 1));
 		const estimateMs = meanMs * (1 + (((this.random.next() * 2) - 1) * estimateOff));
-		const cpu = this.load.taskCpu * (0.8 + (this.random.next() * 0.4));
+		const cpu = (kind.taskCpu ?? this.load.taskCpu) * (0.8 + (this.random.next() * 0.4));
 		const id = `j${++this.serial}`;
 		const objective = aimMs + (stretch * Math.max(...workMs));
 		const work = workMs.reduce((sum, ms) => sum + (ms * cpu), 0);
-		const usual = kind.width * kind.meanMs * this.load.taskCpu;
+		const usual = kind.width * kind.meanMs * (kind.taskCpu ?? this.load.taskCpu);
 		const job: Job = {
 			id,
 			route: kind.route,
@@ -350,7 +358,7 @@
 			leftMs: objective * lateFactor,
 		};
 		this.draws.set(id, {
-			job, kind, workMs, objective, worth: kind.worth * Math.min(4, 0.3 + (0.7 * work / usual)), at: this.now,
+			job, kind, workMs, objective, worth: kind.worth * Math.min(4, 0.3 + (0.7 * work / usual)), at: this.now, startedAt: [],
 		});
 		this.tallies.get(kind.route)!.asked++;
 		const entry = Math.floor(this.random.next() * this.load.entries);
@@ -387,7 +395,7 @@
 		switch (action.kind) {
 			case 'start': {
 				const ask: RunRequest = {
-					owner: String(entry), ref: action.ref, task: action.task.name, resources: action.task.resources, spec: '', sentAt: this.now,
+					owner: String(entry), ref: action.ref, task: action.task.name, resources: action.task.resources, spec: '', sentAt: this.now, expectedMs: action.expectedMs,
 				};
 				this.at(wayMs, () => {
 					this.guard(Number(action.place), {kind: 'request', request: ask, clock: this.now});
@@ -405,11 +413,11 @@
 			}
 
 			case 'want': {
-				const {resources: room, dueMs} = action;
+				const {resources: room, dueMs, reserve} = action;
 				this.wants++;
 				this.at(wayMs, () => {
 					this.guard(Number(action.place), {
-						kind: 'want', owner: String(entry), resources: room, dueMs,
+						kind: 'want', owner: String(entry), resources: room, dueMs, reserve,
 					});
 				});
 				break;
@@ -501,6 +509,12 @@
 		const ms = (draw?.workMs[Number(task)] ?? 1) / this.load.workers[index]!.speed * slowed;
 		const ending = index < (this.load.failing?.(second) ?? 0) ? 'failed' : 'done';
 		this.starts++;
+		const held = this.guards[index]!.capacityHeldByOthers('', this.now).cpu;
+		this.mostUsed = Math.max(this.mostUsed, held / this.load.workers[index]!.cpu);
+		if (draw) {
+			draw.startedAt[Number(task)] = this.now;
+		}
+
 		this.failures += Number(ending === 'failed');
 		if (this.now < this.load.seconds * 1000) {
 			this.busy += ms * ask.resources.cpu;
@@ -539,7 +553,15 @@
 	}
 
 	private room(index: number, entry: number): void {
-		this.step(entry, {kind: 'room', place: String(index), others: this.others(index, entry)});
+		const guard = this.guards[index]!;
+		const releases = guard.releases(this.now);
+		this.step(entry, {
+			kind: 'room',
+			place: String(index),
+			others: this.others(index, entry),
+			...(releases.length > 0 && {releases}),
+			reserved: guard.reservedByOthers(String(entry), this.now),
+		});
 	}
 
 	private others(index: number, entry: number): Resources {
@@ -579,11 +601,13 @@
 		tally.servedOnReturn += Number(verdict.kind === 'completed' && this.now - at + (2 * wayMs) <= objective);
 	}
 
-	private count({
-		job, kind, objective, worth, at,
-	}: Draw, verdict: Verdict): void {
+	private count(draw: Draw, verdict: Verdict): void {
+		const {
+			job, kind, objective, worth, at,
+		} = draw;
 		const tally = this.tallies.get(kind.route)!;
 		const took = this.now - at + (2 * wayMs);
+		this.ended.push({...draw, verdict, tookMs: took});
 		tally.ends.push({
 			work: job.tasks.reduce((sum, {resources, estimateMs}) => sum + (resources.cpu * estimateMs), 0), served: verdict.kind === 'completed' && took <= objective * lateFactor,
 		});
@@ -635,13 +659,16 @@
 
 /** Plays loads with a policy over some seeds and prints one JSON line each: worth earned over worth owed, and what callers got. */
 export function comparePlans(names: readonly string[], policy: Partial<Policy>, seeds: readonly number[]): void {
-	const all = {...loads, ...largeLoads, ...hardLoads};
+	const all = {
+		...loads, ...largeLoads, ...hardLoads, ...unevenLoads,
+	};
 	for (const name of names.length > 0 ? names : Object.keys(loads)) {
 		const total = {
 			asked: 0, inAim: 0, late: 0, tooLate: 0, refused: 0, failed: 0, heldRefused: 0, returned: 0, servedOnReturn: 0,
 		};
 		const byRoute: Record<string, number> = {};
 		const ends = new Map<string, End[]>();
+		const sizes = SizeReport.create();
 		let share = 0;
 		let refusals = 0;
 		let wants = 0;
@@ -649,6 +676,7 @@
 		for (const seed of seeds) {
 			const load = all[name]!;
 			const plan = Plan.create(load, policy, seed).play();
+			sizes.add(plan.ended, load.taskCpu);
 			refusals += plan.refusals / plan.starts;
 			wants += plan.wants / plan.starts;
 			use += plan.busy / (load.workers.reduce((sum, {cpu}) => sum + cpu, 0) * load.seconds * 1000);
@@ -677,6 +705,7 @@
 			orderRefusals: mean(refusals, 3),
 			wants: mean(wants, 3),
 			use: mean(use, 3),
+			...sizes.summary(),
 		})}\n`);
 	}
 }
--- a/src/decide/schedule/demand.ts
+++ b/src/decide/schedule/demand.ts
@@ -2,29 +2,37 @@
 import type {ActiveJob, Task} from './active-job.js';
 import type {Jobs} from './jobs.js';
 import type {Places, PlaceState} from './places.js';
+import type {Reservations} from './reservations.js';
 import type {Action} from './types.js';
 import {rackOf} from './worker-knowledge.js';
 
 /** How many places of a pool may hold a capacity request at a time: enough that one soon has free capacity, few enough to be cheap in pools of hundreds. */
 const maxRequestedPlaces = 16;
 
-/** UnmetDemand summarises the tasks of a pool that fitted no place: the minimum of each resource over them, and the most urgent task with its job. `failed` holds the sizes that were tried and dominate no other. */
-export type UnmetDemand = {smallest: Resources; activeJob: ActiveJob; task: Task; failed: Resources[]};
+/**
+ * UnmetDemand summarises the tasks of a pool that fitted no place: the minimum of each resource over them, the most urgent
+ * task with its job, and all jobs with such tasks. `failed` holds the sizes that were tried and dominate no other.
+ */
+export type UnmetDemand = {smallest: Resources; activeJob: ActiveJob; task: Task; failed: Resources[]; jobs: ActiveJob[]};
 
 /** RackWaiter is a task that waits for room in the rack of its data, with its job. */
 type RackWaiter = {activeJob: ActiveJob; task: Task};
 
 /** Demand summarises by pool the tasks that have found no capacity since all places were last tried, and requests capacity for them. */
 export class Demand {
-	static create(places: Places, jobs: Jobs): Demand {
-		return new Demand(places, jobs);
+	static create(places: Places, jobs: Jobs, reservations: Reservations): Demand {
+		return new Demand(places, jobs, reservations);
 	}
 
 	private readonly byPool = new Map<string, UnmetDemand>();
 	/** Of each pool, by rack, the most urgent task that waits for room in the rack of its data. */
 	private readonly rackWaiters = new Map<string, Map<string, RackWaiter>>();
 
-	private constructor(private readonly places: Places, private readonly jobs: Jobs) {}
+	private constructor(
+		private readonly places: Places,
+		private readonly jobs: Jobs,
+		private readonly reservations: Reservations,
+	) {}
 
 	get(pool: string): UnmetDemand | undefined {
 		return this.byPool.get(pool);
@@ -64,11 +72,12 @@
 		const demand = this.byPool.get(activeJob.job.pool);
 		if (!demand) {
 			this.byPool.set(activeJob.job.pool, {
-				smallest: {...resources}, activeJob, task, failed: [resources],
+				smallest: {...resources}, activeJob, task, failed: [resources], jobs: [activeJob],
 			});
 			return;
 		}
 
+		demand.jobs.push(activeJob);
 		if (!demand.failed.some(size => fits(size, resources))) {
 			demand.failed.push(resources);
 		}
@@ -95,6 +104,10 @@
 	request(pool: string, now: number, actions: Action[]): void {
 		const demand = this.byPool.get(pool);
 		if (demand) {
+			if (this.isWaiting(demand)) {
+				this.reservations.request(pool, demand.jobs, now, actions);
+			}
+
 			this.requestFor(demand, now, actions);
 		}
 
@@ -103,9 +116,13 @@
 		}
 	}
 
+	private isWaiting({activeJob, task}: RackWaiter): boolean {
+		return task.state === 'waiting' && this.jobs.get(activeJob.job.id) !== undefined;
+	}
+
 	private requestFor({activeJob, task, rack}: RackWaiter & {rack?: string}, now: number, actions: Action[]): void {
 		const {job, latestStartAt} = activeJob;
-		if (task.state !== 'waiting' || !this.jobs.get(job.id)) {
+		if (!this.isWaiting({activeJob, task})) {
 			return;
 		}
 
--- a/src/decide/schedule/ordering.ts
+++ b/src/decide/schedule/ordering.ts
@@ -10,7 +10,7 @@
 		late: policy.lateLast && now > activeJob.latestStartAt && !isStarted,
 		priority: policy.urgentFirst ? activeJob.job.priority : 0,
 		hasStarted: policy.begunFirst && isStarted,
-		latestStartAt: activeJob.latestStartAt,
+		latestStartAt: policy.arrivalOrder ? activeJob.arrivedAt : activeJob.latestStartAt,
 	};
 }
 
--- a/src/decide/schedule/placement.ts
+++ b/src/decide/schedule/placement.ts
@@ -4,6 +4,7 @@
 	hasStarted, isWaitingForRack, worthUntil, type ActiveJob, type Task,
 } from './active-job.js';
 import {freeCapacity, type Places, type PlaceState} from './places.js';
+import type {Reservations} from './reservations.js';
 import type {Policy} from './types.js';
 import type {WorkerKnowledge} from './worker-knowledge.js';
 
@@ -22,8 +23,11 @@
 /** By how much a difference in free share is divided beside a step of slowness, so that with the advantages above it stays under one step. */
 const freeShareDivisor = 10;
 
-/** PlacementInputs is what placement looks at: the policy, the places, learned run times and what is known of workers. */
-export type PlacementInputs = {policy: Policy; places: Places; estimator: DurationEstimator; workers: WorkerKnowledge};
+/** More than any worker has, in thousandths of a core: it brings what is left free to the scale of free shares. */
+const maxCpu = 1_000_000;
+
+/** PlacementInputs is what placement looks at: the policy, the places, learned run times, what is known of workers and what is reserved. */
+export type PlacementInputs = {policy: Policy; places: Places; estimator: DurationEstimator; workers: WorkerKnowledge; reservations: Reservations};
 
 /** Placement chooses the place of a task. */
 export class Placement {
@@ -42,7 +46,9 @@
 	 * there is no such place on that rack.
 	 */
 	choose({job, objectiveAt, tasks}: ActiveJob, task: Task, now: number, only?: PlaceState): PlaceState | undefined {
-		const {policy, places, estimator, workers} = this.inputs;
+		const {
+			policy, places, estimator, workers, reservations,
+		} = this.inputs;
 		const usualMs = estimator.expectedMs(job.route, task.spec.estimateMs);
 		const shared = new Set(policy.colocate ? tasks.filter(({state}) => state === 'placed' || state === 'done').map(({place}) => place) : []);
 		let best: {place: PlaceState; late: number; cost: number} | undefined;
@@ -51,17 +57,19 @@
 				continue;
 			}
 
-			const free = freeCapacity(place);
-			if (!fits(task.spec.resources, free)) {
+			if (!fits(task.spec.resources, freeCapacity(place))) {
 				continue;
 			}
 
 			const runMs = usualMs * estimator.slowness(place.id) * workers.farFactor(task.spec, place);
+			if (!reservations.allows(place, task, runMs, now)) {
+				continue;
+			}
+
 			const avoided = place.id === task.lastFailedPlace;
-			const freeShare = free.cpu / place.room.cpu;
 			const late = policy.spread && !avoided && now + (runMs * policy.margin) + overheadMs <= objectiveAt ? 0 : 1;
 			const slowness = Math.round(runMs * slownessSteps / usualMs) * (avoided ? failedPlaceFactor : 1);
-			const advantage = freeShare + (place.zone === policy.zone ? zoneAdvantage : 0) + (shared.has(place.id) ? colocationAdvantage : 0);
+			const advantage = this.fit(task, place, late) + (place.zone === policy.zone ? zoneAdvantage : 0) + (shared.has(place.id) ? colocationAdvantage : 0);
 			const cost = late === 0 ? (Number(workers.isFar(task.spec, place)) * farDisadvantage) - advantage : slowness - (advantage / freeShareDivisor);
 			if (!best || late < best.late || (late === best.late && cost < best.cost)) {
 				best = {place, late, cost};
@@ -92,4 +100,10 @@
 
 		return isWaitingForRack(task, now);
 	}
+
+	/** Returns how well a task fits a place: by the largest free share, or with `bestFit`, where it should end in time, by the least that is left. */
+	private fit({spec: {resources}}: Task, place: PlaceState, late: number): number {
+		const free = freeCapacity(place);
+		return this.inputs.policy.bestFit && late === 0 ? (resources.cpu - free.cpu) / maxCpu : free.cpu / place.room.cpu;
+	}
 }
--- a/src/decide/schedule/places.ts
+++ b/src/decide/schedule/places.ts
@@ -1,6 +1,7 @@
 import {
 	notEjected, recordReport, recordResult, startProbe, availabilityOf, type Ejection,
 } from '../outlier-ejection.js';
+import type {Outlook} from '../look-ahead.js';
 import type {Resources} from '../resources.js';
 import type {PlaceReport} from './types.js';
 
@@ -21,6 +22,8 @@
 	capacityRequested: boolean;
 	/** When its worker leaves at the earliest, if it drains and has said so. */
 	leavesAt?: number;
+	/** What it last reported of its near future, where placement looks ahead. */
+	outlook?: Outlook;
 };
 
 /** How long the record of a place without a link is kept, in milliseconds. Without a limit the records would pile up as machines come and go for years. */
@@ -95,6 +98,7 @@
 		if (place) {
 			place.linked = false;
 			place.capacityRequested = false;
+			place.outlook = undefined;
 			place.linkLostAt = now;
 		}
 	}
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -12,6 +12,7 @@
 import {inOrder} from './ordering.js';
 import {Placement} from './placement.js';
 import {freeCapacity, Places, type PlaceState} from './places.js';
+import {Reservations} from './reservations.js';
 import {
 	usualPolicy, type Action, type Event, type Job, type Policy, type Verdict,
 } from './types.js';
@@ -38,6 +39,7 @@
  * - Demand (`demand.ts`): tasks that fit nowhere are summarised by pool, and places are asked for capacity.
  *   These tasks have been tried at all places, so when one place changes, `fillPlace` tries only that one.
  * - Workers (`worker-knowledge.ts`): by their kinds, racks and notice of leaving it tells how long a run takes and when it hangs.
+ * - Reservations (`reservations.ts`): where tasks differ in size, a place is asked to keep capacity for a large one.
  * - Single runs (`lost-runs.ts`): a task is not started while a run of it may be under way. A lost link makes its
  *   tasks `unknown` until the place confirms their end or `maxRunAfterLinkLossMs` has passed. Tasks that may outlive
  *   their job are remembered, so that a job submitted again does not start them twice.
@@ -57,7 +59,8 @@
 	private readonly places = Places.create();
 	private readonly orders = Orders.create(this.places, this.jobs);
 	private readonly lostRuns = LostRuns.create();
-	private readonly demand = Demand.create(this.places, this.jobs);
+	private readonly reservations: Reservations;
+	private readonly demand: Demand;
 	private readonly admission: Admission;
 	private readonly placement: Placement;
 	private readonly workers: WorkerKnowledge;
@@ -70,8 +73,12 @@
 			policy, places, estimator, jobs,
 		});
 		this.workers = WorkerKnowledge.create(policy, places, estimator);
+		this.reservations = Reservations.create({
+			policy, places, jobs, workers: this.workers,
+		});
+		this.demand = Demand.create(places, jobs, this.reservations);
 		this.placement = Placement.create({
-			policy, places, estimator, workers: this.workers,
+			policy, places, estimator, workers: this.workers, reservations: this.reservations,
 		});
 	}
 
@@ -158,6 +165,7 @@
 				const place = this.places.get(event.place);
 				if (place) {
 					place.others = event.others;
+					place.outlook = event.releases !== undefined || event.reserved !== undefined ? {releases: event.releases ?? [], reserved: event.reserved, at: now} : undefined;
 					place.notBefore = 0;
 					this.fillPlace(event.place, now, actions);
 				}
@@ -169,6 +177,7 @@
 				const place = this.places.get(event.place);
 				if (place) {
 					place.capacityRequested = false;
+					this.reservations.offered(event.place, now);
 				}
 
 				break;
@@ -243,6 +252,7 @@
 			return;
 		}
 
+		this.reservations.admitted(job.pool, job.tasks, now);
 		this.jobs.add(activeJob);
 		this.placeAll(now, actions);
 	}
@@ -251,6 +261,7 @@
 	private handleLinkLoss(id: string, now: number): void {
 		this.lostRuns.linkLost(id, now);
 		this.places.markLinkLost(id, now);
+		this.reservations.linkLost(id);
 		this.removeOldPlaces(now);
 		for (const [ref, {activeJob, task}] of this.orders.at(id)) {
 			if (task.ref === ref && task.state === 'placed' && this.jobs.has(activeJob)) {
@@ -424,6 +435,7 @@
 	/** Places waiting tasks of all jobs as far as capacity allows, and requests capacity for the rest. */
 	private placeAll(now: number, actions: Action[]): void {
 		this.demand.clear();
+		this.reservations.review(now, actions);
 		for (const activeJob of inOrder(this.jobs.waiting(), this.policy, now)) {
 			const task = this.placeTasks(activeJob, now, actions, {inPass: true});
 			if (task) {
@@ -480,7 +492,7 @@
 	private placeTasks(activeJob: ActiveJob, now: number, actions: Action[], {inPass, only}: {inPass: boolean; only?: PlaceState}): Task | undefined {
 		for (const task of activeJob.tasks) {
 			if (task.state === 'waiting' && now >= task.notBefore && !this.lostRuns.mayStillRun(task.spec.name, now)) {
-				const place = this.demand.isHopeless(activeJob.job.pool, task.spec.resources, inPass) ? undefined : this.placement.choose(activeJob, task, now, only);
+				const place = this.isHopeless(activeJob, task, inPass) ? undefined : this.placement.choose(activeJob, task, now, only);
 				if (place ? this.placement.waitsForRack(activeJob, task, place, now) : isWaitingForRack(task, now)) {
 					this.demand.addRackWaiter(activeJob, task);
 					continue;
@@ -490,13 +502,24 @@
 					return task;
 				}
 
-				actions.push(this.orders.send(activeJob, task, place, now));
+				const start = this.orders.send(activeJob, task, place, now);
+				const run = {route: activeJob.job.route, task: task.spec, place};
+				actions.push(this.reservations.isActive(place.pool) ? {...start, expectedMs: Math.round(this.workers.runMs(run))} : start);
 			}
 		}
 
 		return undefined;
 	}
 
+	/**
+	 * Whether a task finds no capacity because of one that has just found none. Where placement looks ahead, only the
+	 * most urgent of those counts: a reservation may have kept a smaller one from a place that is open to this one.
+	 */
+	private isHopeless({job: {pool}}: ActiveJob, {spec}: Task, inPass: boolean): boolean {
+		const isBehindAnother = this.policy.arrivalOrder && this.demand.get(pool) !== undefined;
+		return isBehindAnother || this.demand.isHopeless(pool, spec.resources, inPass && !this.reservations.isActive(pool));
+	}
+
 	/** Forgets a lingering task when its order has ended, so that a job submitted again may start it. */
 	private taskEnded(order: OutstandingOrder | undefined, ref: number, now: number, actions: Action[]): void {
 		if (order && this.lostRuns.taskEnded(order.task.spec.name, ref)) {
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -1,5 +1,6 @@
 import type {Departure} from '../departure.js';
 import type {StartRefusal, Outcome} from '../guard.js';
+import type {Release} from '../reservation.js';
 import type {Resources} from '../resources.js';
 import type {ShortageSettings} from '../shortage.js';
 
@@ -69,8 +70,8 @@
 		| {kind: 'left' | 'cancel'; job: string}
 	/** A place sent a full report. */
 		| {kind: 'told'; place: string; report: PlaceReport}
-	/** The capacity in use for other entries changed. */
-		| {kind: 'room'; place: string; others: Resources}
+	/** The capacity in use for other entries changed; with it come the expected releases, and the reservation of another entry. */
+		| {kind: 'room'; place: string; others: Resources; releases?: readonly Release[]; reserved?: Release}
 	/** The capacity requested there is free and reserved for a moment. A `room` event with the amount follows. */
 		| {kind: 'offered'; place: string}
 	/** The link to the place was lost. */
@@ -86,16 +87,16 @@
 		| {kind: 'stopping'; until: number}
 		| {kind: 'tick'};
 
-/** StartAction orders a sidecar to start a task; `ref` identifies the order. */
-export type StartAction = {kind: 'start'; place: string; ref: number; job: Job; task: TaskSpec};
+/** StartAction orders a sidecar to start a task; `ref` identifies the order. `expectedMs`: the run time expected there, where placement looks ahead. */
+export type StartAction = {kind: 'start'; place: string; ref: number; job: Job; task: TaskSpec; expectedMs?: number};
 
 /** Action is an output of the schedule, for the caller to carry out. */
 export type Action
 	= | StartAction
 	/** Stop the run of an order; `hung`: because it far exceeded its expected time; `departure`: because its worker leaves before it can end. */
 		| {kind: 'stop'; place: string; ref: number; hung: boolean; departure?: Departure}
-	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. */
-		| {kind: 'want'; place: string; resources: Resources; dueMs: number}
+	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. `reserve`: a reservation is asked for too. */
+		| {kind: 'want'; place: string; resources: Resources; dueMs: number; reserve?: boolean}
 		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
 
 /** Policy holds the parameters that benchmarks may vary; production runs `usualPolicy`. */
@@ -129,6 +130,14 @@
 	zone?: string;
 	/** Admission while a pool is short; absent: by the wait of each job alone. */
 	shortage?: ShortageSettings;
+	/** Whether placement looks ahead; `auto`: where the tasks of a pool differ in size. */
+	lookAhead: 'auto' | 'on' | 'off';
+	/** How many reservations an entry may hold in a pool. */
+	reservations: number;
+	/** Whether a task that should end in time goes to the place with the least room left instead of the largest free share. */
+	bestFit: boolean;
+	/** Whether jobs go strictly in order of arrival: no task is placed before one that waits in front of it. */
+	arrivalOrder: boolean;
 };
 
 /** The policy of production. */
@@ -144,4 +153,8 @@
 	workers: 'auto',
 	farFactor: 1,
 	colocate: false,
+	lookAhead: 'off',
+	reservations: 1,
+	bestFit: false,
+	arrivalOrder: false,
 };
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -4,7 +4,9 @@
 	Schedule, type Action, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
 import type {Departure} from '../decide/departure.js';
+import {areReleases} from '../decide/look-ahead.js';
 import {LoopDelay, type EntryLoad} from '../decide/overload.js';
+import type {Release} from '../decide/reservation.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -13,7 +15,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	features, type SyncMessage, type Hello, type Message, type MessageToEntry, type ReceivedMessage,
+	announcedFeatures, type SyncMessage, type Hello, type Message, type MessageToEntry, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 
@@ -433,14 +435,20 @@
 			case 'place': {
 				this.updateStamp(sidecar, message.stamp);
 				this.log.info({event: 'place', place, report: message.report}, 'place reported its state');
-				this.apply({kind: 'told', place, report: this.withoutBadFigures(message.report, place, sidecar)});
+				this.apply({kind: 'told', place, report: this.withoutBadFigures(message.report, sidecar)});
 				this.clear(place, message.clear);
 				break;
 			}
 
 			case 'room': {
 				this.updateStamp(sidecar, message.stamp);
-				this.apply({kind: 'room', place, others: message.others});
+				this.apply({
+					kind: 'room',
+					place,
+					others: message.others,
+					releases: this.checkReleases('releases', message.releases, sidecar),
+					reserved: this.checkReleases('reserved', message.reserved && [message.reserved], sidecar)?.[0],
+				});
 				this.clear(place, message.clear);
 				break;
 			}
@@ -479,22 +487,36 @@
 		}
 	}
 
-	/** Returns a report without a figure that is out of range. The first one of a link is logged, each is counted. */
-	private withoutBadFigures(report: PlaceReport, place: string, sidecar: Sidecar): PlaceReport {
+	/** Returns a report without a figure that is out of range. */
+	private withoutBadFigures(report: PlaceReport, sidecar: Sidecar): PlaceReport {
 		const {remainingMs} = report;
 		if (remainingMs === undefined || (remainingMs >= 0 && remainingMs <= maxRemainingMs)) {
 			return report;
 		}
 
+		this.figureIgnored('remainingMs', remainingMs, sidecar);
+		return {...report, remainingMs: undefined};
+	}
+
+	/** Returns figures of a sidecar's near future, or undefined where they are out of range. */
+	private checkReleases(field: string, releases: readonly Release[] | undefined, sidecar: Sidecar): readonly Release[] | undefined {
+		if (!releases || areReleases(releases)) {
+			return releases;
+		}
+
+		this.figureIgnored(field, releases, sidecar);
+		return undefined;
+	}
+
+	/** Counts a figure that is out of range. The first one of a link is logged. */
+	private figureIgnored(field: string, value: unknown, sidecar: Sidecar): void {
 		this.meters.ignoredFigures.inc({from: 'sidecar'});
 		if (!sidecar.hadBadFigure) {
 			sidecar.hadBadFigure = true;
 			this.log.warn({
-				event: 'figure-ignored', place, field: 'remainingMs', value: remainingMs,
+				event: 'figure-ignored', place: sidecar.link.peer?.node, field, value,
 			}, 'figure of a place\'s report ignored');
 		}
-
-		return {...report, remainingMs: undefined};
 	}
 
 	private updateStamp(sidecar: Sidecar, stamp: number): void {
@@ -562,7 +584,10 @@
 
 			case 'want': {
 				this.meters.orders.inc({kind: 'want'});
-				this.sidecars.get(action.place)?.link.send({kind: 'want', room: action.resources, dueMs: action.dueMs});
+				const sidecar = this.sidecars.get(action.place);
+				sidecar?.link.send({
+					kind: 'want', room: action.resources, dueMs: action.dueMs, ...(action.reserve && sidecar.link.speaks('lookAhead') && {reserve: true}),
+				});
 				break;
 			}
 
@@ -597,7 +622,9 @@
 		this.startedJobs.set(job, now + startedJobRetentionMs);
 	}
 
-	private sendStart({place, ref, job, task}: StartAction): void {
+	private sendStart({
+		place, ref, job, task, expectedMs,
+	}: StartAction): void {
 		const sidecar = this.sidecars.get(place);
 		this.meters.orders.inc({kind: 'start'});
 		if (!sidecar) {
@@ -613,6 +640,7 @@
 			...(specId === undefined ? {spec: job.spec} : {specId}),
 			stamp: sidecar.stamp,
 			age: Math.round(this.clock.mono() - sidecar.stampedAt),
+			...(expectedMs !== undefined && sidecar.link.speaks('lookAhead') && {expectedMs}),
 		});
 	}
 
@@ -660,7 +688,7 @@
 
 	/** Returns the features to announce: none to a side that has announced none, so that it gets the messages that it knows. */
 	private featuresFor({peer}: Link): Hello['features'] {
-		return this.settings.policy?.links.enabled === 'off' || (peer && !peer.features) ? undefined : features;
+		return peer && !peer.features ? undefined : announcedFeatures(this.settings.policy?.links.enabled !== 'off', looksAhead(this.settings.policy));
 	}
 
 	private addresses(): string[] {
@@ -679,11 +707,17 @@
 	};
 }
 
+/** Whether placement looks ahead. `auto` leaves it off: no load of the model shows a gain for large tasks, see docs/design/look-ahead.md. It needs a feature of the links. */
+function looksAhead(policy?: PolicySettings): boolean {
+	return policy?.lookAhead.enabled === 'on' && policy.links.enabled !== 'off';
+}
+
 /** Returns the parameters of the schedule that the settings ask for. */
 function schedulePolicyOf({policy = defaultPolicySettings, farFactor = 1, zone}: DispatcherSettings): Partial<Policy> {
 	const {enabled, ...parameters} = policy.shortage;
 	return {
 		workers: policy.workers.enabled,
+		lookAhead: looksAhead(policy) ? 'on' : 'off',
 		farFactor: Math.max(1, farFactor),
 		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
 		...(policy.links.enabled !== 'off' && {colocate: true, zone}),
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -3,6 +3,7 @@
 	Guard, type Action, type RunRequest, type Event, type Worker,
 } from '../decide/guard.js';
 import {subsetSize} from '../decide/announce.js';
+import {isExpectedTime} from '../decide/look-ahead.js';
 import {nextFence} from '../decide/fence.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
 import type {Clock} from '../ports/clock.js';
@@ -17,7 +18,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	features, type Message, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
@@ -71,7 +72,7 @@
 		return new Driver(settings, dependencies);
 	}
 
-	readonly guard = Guard.create();
+	readonly guard: Guard;
 
 	/** Called with the messages that were sent together on a link and the bytes that they took. */
 	onFlush?: (messages: readonly Message[], bytes: number) => void;
@@ -84,6 +85,7 @@
 	private readonly texts = new Map<Link, HeldTexts>();
 	/** Surplus links, with the time at which their entry was told to send nothing more. */
 	private readonly withdrawnSince = new Map<Link, number>();
+	private readonly linksWithIgnoredFigures = new WeakSet<Link>();
 	private fence = 0;
 	private fenceRefusals = 0;
 	/** A reading of the worker's clock, and the local time at which it was made. */
@@ -108,6 +110,7 @@
 		({
 			clock: this.clock, executor: this.executor, log: this.log, metrics: this.meters,
 		} = dependencies);
+		this.guard = Guard.create({lookAhead: settings.policy?.lookAhead.enabled !== 'off'});
 		this.links = Links.create(this.clock, this);
 		this.meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -117,7 +120,7 @@
 					role: 'sidecar',
 					node: settings.node,
 					life: settings.incarnation,
-					features: settings.policy?.links.enabled === 'off' ? undefined : features,
+					features: announcedFeatures(settings.policy?.links.enabled !== 'off', settings.policy?.lookAhead.enabled !== 'off'),
 				});
 			},
 			subset: {
@@ -252,8 +255,13 @@
 	beforeFlush(link: Link): void {
 		if (link.peer) {
 			const owner = ownerOf(link);
+			const now = this.clock.mono();
 			link.send({
-				kind: 'room', others: this.guard.capacityHeldByOthers(owner, this.clock.mono()), stamp: this.stampFor(link), clear: this.guard.hasNoAbandonedRuns(owner),
+				kind: 'room',
+				others: this.guard.capacityHeldByOthers(owner, now),
+				stamp: this.stampFor(link),
+				clear: this.guard.hasNoAbandonedRuns(owner),
+				...(link.speaks('lookAhead') && this.outlookFor(owner, now)),
 			});
 		}
 	}
@@ -324,7 +332,7 @@
 
 			case 'want': {
 				this.apply({
-					kind: 'want', owner: ownerOf(link), resources: message.room, dueMs: message.dueMs,
+					kind: 'want', owner: ownerOf(link), resources: message.room, dueMs: message.dueMs, reserve: message.reserve,
 				});
 				break;
 			}
@@ -337,7 +345,7 @@
 	}
 
 	private handleStart({
-		ref, task, room: resources, spec: inlineSpec, specId, stamp, age,
+		ref, task, room: resources, spec: inlineSpec, specId, stamp, age, expectedMs,
 	}: MessageToSidecar & {kind: 'start'}, link: Link): void {
 		const spec = specId === undefined ? inlineSpec : this.texts.get(link)?.get(specId);
 		if (spec === undefined) {
@@ -350,7 +358,7 @@
 		}
 
 		const request: RunRequest = {
-			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age,
+			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
 		this.apply({kind: 'request', request, clock: this.workerClock()});
 	}
@@ -363,6 +371,30 @@
 		}
 	}
 
+	/** Returns the fields of a room message that tell an entry of the near future. */
+	private outlookFor(owner: string, now: number): Pick<MessageToEntry & {kind: 'room'}, 'releases' | 'reserved'> {
+		const releases = this.guard.releases(now);
+		const reserved = this.guard.reservedByOthers(owner, now);
+		return {...(releases.length > 0 && {releases}), ...(reserved && {reserved})};
+	}
+
+	/** Returns the expected time of a start unless it is out of range: such is ignored, counted, and logged once for each link. */
+	private checkExpectedMs(expectedMs: number | undefined, link: Link): number | undefined {
+		if (expectedMs === undefined || isExpectedTime(expectedMs)) {
+			return expectedMs;
+		}
+
+		this.meters.ignoredFigures.inc({from: 'entry'});
+		if (!this.linksWithIgnoredFigures.has(link)) {
+			this.linksWithIgnoredFigures.add(link);
+			this.log.warn({
+				event: 'figure-ignored', entry: link.peer?.node, field: 'expectedMs', value: expectedMs,
+			}, 'figure of an entry\'s start ignored');
+		}
+
+		return undefined;
+	}
+
 	private updateZones(asOf: number, out: readonly string[]): void {
 		if (asOf < this.zones.asOf) {
 			return;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 import type {StartRefusal} from '../decide/guard.js';
+import {maxReleases} from '../decide/reservation.js';
 import {asFrequent} from './frequent.js';
 
 const room = z.object({cpu: z.number(), memoryMb: z.number(), accelerators: z.number()});
@@ -9,12 +10,23 @@
 /** The time stamp of a sidecar's messages: its worker's clock in milliseconds. The entry's starts return it with its age, so that they are dated by the same clock. */
 const stamp = z.number();
 const ref = z.int();
+/** A time from now in milliseconds and a capacity in thousandths of a core. */
+const release = z.tuple([z.number(), z.number()]).readonly();
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
-export type Feature = 'specs' | 'msgpack' | 'parts';
-/** The features of this version. */
+export type Feature = 'specs' | 'msgpack' | 'parts' | 'lookAhead';
+/** The features of this version that concern the form of messages. */
 export const features: readonly Feature[] = ['specs', 'msgpack', 'parts'];
 
+/** Returns the features that a side announces; none where those of the links are switched off. `lookAhead`: whether it uses the fields of look-ahead placement. */
+export function announcedFeatures(links: boolean, lookAhead: boolean): readonly Feature[] | undefined {
+	if (!links) {
+		return undefined;
+	}
+
+	return lookAhead ? [...features, 'lookAhead'] : features;
+}
+
 /** The first message on a link in each direction. `life` names the incarnation, and is new each time the process starts. */
 const hello = z.object({
 	kind: z.literal('hello'),
@@ -42,7 +54,14 @@
 		clear: z.boolean(),
 	}),
 	z.object({
-		kind: z.literal('room'), others: room, stamp, clear: z.boolean(),
+		kind: z.literal('room'),
+		others: room,
+		stamp,
+		clear: z.boolean(),
+		/** The expected releases in order of time, each with the total capacity released by then. */
+		releases: z.array(release).max(maxReleases).readonly().optional(),
+		/** When the reserved task of another entry should start, and its size. */
+		reserved: release.optional(),
 	}),
 	/** The capacity that the entry requested is reserved for it. The `room` message that follows says how much is free. */
 	z.object({kind: z.literal('offer')}),
@@ -57,6 +76,8 @@
 	/** `age` is the time since the entry received the stamp, in milliseconds. `specId` names a text that was sent before, in place of `spec`. */
 	z.object({
 		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string().optional(), specId: ref.optional(), stamp, age: z.number(),
+		/** The run time that the entry expects there, in milliseconds. */
+		expectedMs: z.number().optional(),
 	}).refine(({spec, specId}) => (spec === undefined) !== (specId === undefined), {path: ['spec'], error: 'expected either spec or specId'}),
 	/** The text of a job, for the starts that follow on the link. */
 	z.object({kind: z.literal('spec'), id: ref, text: z.string()}),
@@ -64,8 +85,10 @@
 	z.object({kind: z.literal('forget'), ids: z.array(ref).readonly()}),
 	/** `hung`: the run should have ended long ago. */
 	z.object({kind: z.literal('stop'), ref, hung: z.boolean()}),
-	/** Requests capacity for a waiting task of this size, which should begin within `dueMs`. */
-	z.object({kind: z.literal('want'), room, dueMs: z.number()}),
+	/** Requests capacity for a waiting task of this size, which should begin within `dueMs`. `reserve`: asks for a reservation too. */
+	z.object({
+		kind: z.literal('want'), room, dueMs: z.number(), reserve: z.boolean().optional(),
+	}),
 	z.object({kind: z.literal('zones'), asOf: z.number(), out: z.array(z.string()).readonly()}),
 ] as const;
 
