--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -14,7 +14,7 @@
 import {features, type ReceivedMessage} from '../src/ephemeral/messages.js';
 import {DispatcherMetrics, DriverMetrics} from '../src/ephemeral/metrics.js';
 import {HeldTexts, SentTexts} from '../src/ephemeral/spec-texts.js';
-import {policySettings} from '../src/settings/policy.js';
+import {policySettings, type PolicySettings} from '../src/settings/policy.js';
 import {
 	createExecutor, createJob, leaseMs, room, silentLog, startDriver, submit, waitUntil,
 } from './ephemeral-cluster.js';
@@ -69,10 +69,10 @@
 };
 
 /** Connects a peer to an entry as its only sidecar, with room for two tasks. */
-async function sidecarOf(t: ExecutionContext, announced?: readonly string[]): Promise<{entry: Dispatcher; peer: LinePeer; metrics: DispatcherMetrics}> {
+async function sidecarOf(t: ExecutionContext, announced?: readonly string[], policy?: PolicySettings): Promise<{entry: Dispatcher; peer: LinePeer; metrics: DispatcherMetrics}> {
 	const metrics = DispatcherMetrics.create();
 	const entry = await Dispatcher.create({
-		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
+		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [], policy,
 	}, systemClock, silentLog, metrics);
 	const [host, port] = splitAddress(entry.address);
 	const peer = new LinePeer(createConnection({host, port}));
@@ -143,6 +143,30 @@
 	]);
 });
 
+// Guards against fields of look-ahead placement on a link to a side that does not use them.
+for (const [title, announced, enabled, isSent] of [
+	['to a sidecar that names the feature', ['lookAhead'], 'on', true],
+	['not to a sidecar that names no such feature', ['specs'], 'on', false],
+	['not where the entry has it switched off', ['lookAhead'], 'auto', false],
+] as const) {
+	test(`link features: the expected time of a start goes ${title}`, async t => {
+		const {entry, peer} = await sidecarOf(t, announced, policySettings.parse({lookAhead: {enabled}}));
+		void submit(entry, createJob('j'));
+		await waitUntil(() => peer.ofKind('start').length === 2);
+		t.is(peer.ofKind('start').every(({expectedMs}) => expectedMs !== undefined), isSent);
+		t.is(peer.ofKind('hello').some(({features: named}) => (named as string[]).includes('lookAhead')), enabled === 'on');
+	});
+}
+
+for (const announced of ['lookAhead', 'specs']) {
+	test(`link features: releases ${announced === 'lookAhead' ? 'are' : 'are not'} reported to an entry that names ${announced}`, async t => {
+		const {peer} = await entryOf(t, [announced]);
+		peer.send({...start, spec: 'text', expectedMs: 20}, {kind: 'want', room: start.room, dueMs: 100});
+		await waitUntil(() => peer.ofKind('offer').length === 1 && peer.ofKind('ended').length === 1);
+		t.is(peer.ofKind('room').some(({releases}) => releases !== undefined), announced === 'lookAhead');
+	});
+}
+
 // Guards against a text that travels with every task, and against texts that a sidecar never forgets.
 test('link features: a text goes once to a sidecar and is forgotten when its job has ended', async t => {
 	const {entry, peer} = await sidecarOf(t, ['specs']);
