Departure test: tasks at two workers, as the part that puts them at one place is off

Cause: the two tests of a moved run wait until each of two workers has a task of the job. Since the tasks of a job go to one place they never began, and the whole run of tests timed out (ava's TAP reporter then fails without naming them). Change: the entry of these tests has the section links off; what they check is unchanged.

--- a/test/departure.test.ts
+++ b/test/departure.test.ts
@@ -29,7 +29,10 @@
 	});
 }
 
-/** Long enough that none of the runs can end before it is moved, in milliseconds. */
+/**
+ * Long enough that none of the runs can end before it is moved, in milliseconds. The tasks have to be at two workers, so the part that puts
+ * the tasks of a job at one place is off.
+ */
 const runMs = 3000;
 
 for (const [title, isApplied] of [
@@ -39,7 +42,7 @@
 	test(`departure: a moved run has ended before it is started elsewhere, also when ${title}`, async t => {
 		const meters = DispatcherMetrics.create();
 		const entry = await Dispatcher.create({
-			node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [], policy: policySettings.parse({workers: {enabled: 'on'}}),
+			node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [], policy: policySettings.parse({workers: {enabled: 'on'}, links: {enabled: 'off'}}),
 		}, systemClock, silentLog, meters);
 		t.teardown(() => {
 			entry.close();
