Dispatcher: the line on a caller that left says for how long its job was held

Two entries can hold a job only if one of them has not noticed that its caller left. The line now has the job's state, the time since its submission and how long the sockets had not been read when it was submitted, which tells a caller that leaves from one that was gone when its job was read. No change of behaviour.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -110,6 +110,8 @@
 	private fetches = 0;
 	private readonly timer: NodeJS.Timeout;
 	private readonly loopDelay = LoopDelay.create(tickMs);
+	/** What had arrived on the sockets by then has been handled, in monotonic milliseconds: no caller left before that without this entry knowing. */
+	private inputHandledUntil: number;
 
 	private constructor(
 		private readonly settings: DispatcherSettings,
@@ -119,6 +121,7 @@
 	) {
 		this.schedule = Schedule.create(schedulePolicyOf(settings));
 		this.address = settings.address;
+		this.inputHandledUntil = clock.mono();
 		this.links = Links.create(clock, this);
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -129,7 +132,12 @@
 		});
 		this.addAddresses(settings.seeds, true);
 		this.timer = setInterval(() => {
-			this.loopDelay.fired(this.clock.mono());
+			const now = this.clock.mono();
+			this.loopDelay.fired(now);
+			// The event loop reads the sockets between the timers and the immediates of a turn.
+			setImmediate(() => {
+				this.inputHandledUntil = now;
+			});
 			if (this.schedule.jobCount > 0) {
 				this.apply({kind: 'tick'});
 			}
@@ -157,8 +165,10 @@
 			this.apply({kind: 'submit', job});
 		}
 
+		const submittedAt = this.clock.mono();
+		const inputAgeMs = submittedAt - this.inputHandledUntil;
 		return () => {
-			this.removeWaiter(job.id, answer);
+			this.removeWaiter(job.id, answer, {heldMs: Math.round(this.clock.mono() - submittedAt), inputAgeMs: Math.round(inputAgeMs)});
 		};
 	}
 
@@ -353,18 +363,22 @@
 		}, knowsNone && !this.isStoreAnswering?.() ? 0 : pauseMs);
 	}
 
-	private removeWaiter(job: string, answer: Waiter): void {
+	/** `heldMs`: the time since its submission; `inputAgeMs`: how long the sockets had not been read then. */
+	private removeWaiter(job: string, answer: Waiter, times: {heldMs: number; inputAgeMs: number}): void {
 		const waiters = this.waiters.get(job);
 		if (!waiters?.delete(answer) || waiters.size > 0) {
 			return;
 		}
 
 		this.waiters.delete(job);
-		if (this.schedule.jobState(job) === 'running') {
+		const state = this.schedule.jobState(job);
+		if (state === 'running') {
 			this.rememberStarted(job);
 		}
 
-		this.log.info({event: 'left', job}, 'caller left, stopping the tasks of its job');
+		this.log.info({
+			event: 'left', job, state, ...times,
+		}, 'caller left, stopping the tasks of its job');
 		this.apply({kind: 'left', job});
 		this.releaseTexts(job);
 	}
