--- /dev/null
+++ b/test/departed-caller.test.ts
@@ -0,0 +1,53 @@
+import {once} from 'node:events';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import test from 'ava';
+import {decodeDesired} from '../platform/desired.js';
+import {buildFront} from '../platform/front.js';
+import {systemClock} from '../src/adapters/clock.js';
+import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
+import {
+	silentLog, startCluster, waitUntil,
+} from './ephemeral-cluster.js';
+
+const desired = decodeDesired(new Map([['config', JSON.stringify({
+	version: 1, routes: [{
+		name: 'r', host: 'a.example', path_prefix: '/', service: 'p', target_latency_ms: 60_000,
+	}],
+})]]))!;
+const body = JSON.stringify({spec: 'x', best_effort: true, steps: [{count: 1, cpu: 1}]});
+const submission = (id: string) => `POST /${id} HTTP/1.1\r\nhost: a.example\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+for (const [title, leave] of [
+	['closed', (caller: Socket) => caller.destroy()],
+	['reset', (caller: Socket) => caller.resetAndDestroy()],
+] as const) {
+	test(`departed caller: a job starts nothing when its connection was ${title} before its submission was read`, async t => {
+		const {entries: [dispatcher], executors: [executor]} = await startCluster(t, 1, 1);
+		const starts: string[] = [];
+		const {start} = executor!;
+		executor!.start = async (order, life) => {
+			starts.push(order.task);
+			return start(order, life);
+		};
+
+		const front = buildFront({
+			dispatcher: dispatcher!, clock: systemClock, log: silentLog, meters: DispatcherMetrics.create(), desired: () => desired, stopping: () => false,
+		});
+		await front.listen({host: '127.0.0.1', port: 0});
+		t.teardown(async () => front.close());
+		await waitUntil(() => dispatcher!.schedule.placeCounts.open === 1);
+		const {port} = front.server.address() as AddressInfo;
+		const callers = ['00aa', '00bb', '00cc'].map(id => ({id, socket: connect(port, '127.0.0.1')}));
+		await Promise.all(callers.map(async ({socket}) => once(socket, 'connect')));
+		for (const {id, socket} of callers) {
+			socket.write(submission(id));
+			leave(socket);
+		}
+
+		const last = connect(port, '127.0.0.1');
+		last.write(submission('00dd'));
+		await once(last, 'data');
+		last.destroy();
+		t.deepEqual(starts, ['00dd.0.0.0']);
+	});
+}
