Dispatcher: a start is dated by when the entry last read its sockets

Callers could see a task run twice at the same time when their entry was late: a sidecar refuses a start that is over 600 ms old, but an entry dated its orders by the moment when it sent them. An event loop that had not read its sockets for a second could order tasks of jobs whose callers had left meanwhile and were about to submit them elsewhere (1,300 ms after their connection broke).

An order of a late event loop is now as old as the last look at the sockets, so that the sidecar's limit covers the whole time from the last moment at which the caller is known to have been there. In the test, an entry that stood still for 800 ms had its start accepted before; now the sidecar refuses it as stale and the entry orders it again. While the loop is on time, messages are as before.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -37,6 +37,8 @@
 
 /** How often waiting jobs are checked, in milliseconds. */
 const tickMs = 20;
+/** How long ago the sockets may seem to have been read last while the event loop is on time, in milliseconds: it is recorded at each tick. */
+const inputLagMs = 2 * tickMs;
 /** How often an entry without a link is dialled, in milliseconds. */
 const redialMs = 500;
 /**
@@ -653,11 +655,20 @@
 			room: task.resources,
 			...(specId === undefined ? {spec: job.spec} : {specId}),
 			stamp: sidecar.stamp,
-			age: Math.round(this.clock.mono() - sidecar.stampedAt),
+			age: Math.round(this.orderedFrom(this.clock.mono()) - sidecar.stampedAt),
 			...(expectedMs !== undefined && sidecar.link.speaks('lookAhead') && {expectedMs}),
 		});
 	}
 
+	/**
+	 * Returns the time by which an order made now is dated. Callers may have left since the sockets were last read, and may
+	 * have submitted their jobs elsewhere, so an order of an event loop that is late is as old as that; the sidecar refuses it
+	 * if it is too old.
+	 */
+	private orderedFrom(now: number): number {
+		return now - Math.max(0, now - this.inputHandledUntil - inputLagMs);
+	}
+
 	private newestState(): SyncMessage {
 		const {asOf, digest} = this.desired;
 		return {kind: 'newest', asOf, digest};
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -73,7 +73,7 @@
 
 /** The messages from an entry to a sidecar. */
 const toSidecar = [
-	/** `age` is the time since the entry received the stamp, in milliseconds. `specId` names a text that was sent before, in place of `spec`. */
+	/** `age` is the time from when the entry received the stamp until it ordered the start, in milliseconds; where its event loop is late, until it last read its sockets, which may be before the stamp. `specId` names a text that was sent before, in place of `spec`. */
 	z.object({
 		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string().optional(), specId: ref.optional(), stamp, age: z.number(),
 		/** The run time that the entry expects there, in milliseconds. */
--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -6,7 +6,7 @@
 import {systemClock} from '../src/adapters/clock.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 import {
-	silentLog, startCluster, waitUntil,
+	createJob, silentLog, startCluster, submit, waitUntil,
 } from './ephemeral-cluster.js';
 
 const desired = decodeDesired(new Map([['config', JSON.stringify({
@@ -16,6 +16,8 @@
 })]]))!;
 const body = JSON.stringify({spec: 'x', best_effort: true, steps: [{count: 1, cpu: 1}]});
 const submission = (id: string) => `POST /${id} HTTP/1.1\r\nhost: a.example\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+/** The age at which a sidecar refuses a start, in milliseconds. */
+const requestMaxAgeMs = 600;
 
 for (const [title, leave] of [
 	['closed', (caller: Socket) => caller.destroy()],
@@ -51,3 +53,15 @@
 		t.deepEqual(starts, ['00dd.0.0.0']);
 	});
 }
+
+test('departed caller: a sidecar refuses a start whose entry has not read its sockets since callers may have left', async t => {
+	const {entries: [entry], driverMetrics: [meters]} = await startCluster(t, 1, 1);
+	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+	for (const until = systemClock.mono() + requestMaxAgeMs + 200; systemClock.mono() < until;) {
+		// The entry stands still.
+	}
+
+	t.deepEqual(await submit(entry!, createJob('j', 1)), {kind: 'completed'});
+	const {values} = await meters!.refusedRequests.get();
+	t.true(values.some(({labels: {why}, value}) => why === 'stale' && value > 0));
+});
