Dispatcher: starts are dated when their link is flushed

Links are flushed after the sockets of the same turn were read, so a start is dated then, by the beginning of that turn.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -15,7 +15,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, type SyncMessage, type Hello, type Message, type MessageToEntry, type ReceivedMessage,
+	announcedFeatures, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 
@@ -58,11 +58,13 @@
 /** The longest stay that a draining worker may state, in milliseconds. */
 const maxRemainingMs = 3_600_000;
 
+type Start = MessageToSidecar & {kind: 'start'};
+
 /**
- * A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, and the
- * texts sent to it. `hadBadFigure`: whether a figure of it was out of range.
+ * A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, the
+ * texts sent to it, and the starts that wait for the next flush of the link. `hadBadFigure`: whether a figure of it was out of range.
  */
-type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; hadBadFigure?: boolean};
+type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; undatedStarts: Start[]; hadBadFigure?: boolean};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -112,8 +114,8 @@
 	private fetches = 0;
 	private readonly timer: NodeJS.Timeout;
 	private readonly loopDelay = LoopDelay.create(tickMs);
-	/** What had arrived on the sockets by then has been handled, in monotonic milliseconds: no caller left before that without this entry knowing. */
-	private inputHandledUntil: number;
+	/** The time of the latest tick. When links are flushed, what had arrived on the sockets by then has been read, as the event loop reads them between its timers and its immediates. */
+	private tickedAt: number;
 
 	private constructor(
 		private readonly settings: DispatcherSettings,
@@ -123,7 +125,7 @@
 	) {
 		this.schedule = Schedule.create(schedulePolicyOf(settings));
 		this.address = settings.address;
-		this.inputHandledUntil = clock.mono();
+		this.tickedAt = clock.mono();
 		this.links = Links.create(clock, this);
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -136,10 +138,7 @@
 		this.timer = setInterval(() => {
 			const now = this.clock.mono();
 			this.loopDelay.fired(now);
-			// The event loop reads the sockets between the timers and the immediates of a turn.
-			setImmediate(() => {
-				this.inputHandledUntil = now;
-			});
+			this.tickedAt = now;
 			if (this.schedule.jobCount > 0) {
 				this.apply({kind: 'tick'});
 			}
@@ -168,7 +167,7 @@
 		}
 
 		const submittedAt = this.clock.mono();
-		const inputAgeMs = submittedAt - this.inputHandledUntil;
+		const inputAgeMs = submittedAt - this.tickedAt;
 		return () => {
 			this.removeWaiter(job.id, answer, {heldMs: Math.round(this.clock.mono() - submittedAt), inputAgeMs: Math.round(inputAgeMs)});
 		};
@@ -274,7 +273,12 @@
 
 	beforeFlush(link: Link): void {
 		const sidecar = link.peer?.role === 'sidecar' ? this.sidecars.get(link.peer.node) : undefined;
-		const ids = sidecar?.link === link ? sidecar.texts.takeForgettable() : [];
+		if (sidecar?.link !== link) {
+			return;
+		}
+
+		this.dateStarts(sidecar);
+		const ids = sidecar.texts.takeForgettable();
 		if (ids.length > 0) {
 			link.send({kind: 'forget', ids});
 		}
@@ -402,7 +406,7 @@
 		}
 
 		this.sidecars.set(peer.node, {
-			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(),
+			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(), undatedStarts: [],
 		});
 		link.send({kind: 'zones', asOf: this.desired.asOf, out: this.out});
 		link.send({kind: 'entries', addresses: this.addresses()});
@@ -648,25 +652,37 @@
 		}
 
 		const specId = this.sendText(sidecar, job);
-		sidecar.link.send({
+		const start: Start = {
 			kind: 'start',
 			ref,
 			task: task.name,
 			room: task.resources,
 			...(specId === undefined ? {spec: job.spec} : {specId}),
 			stamp: sidecar.stamp,
-			age: Math.round(this.orderedFrom(this.clock.mono()) - sidecar.stampedAt),
+			age: 0,
 			...(expectedMs !== undefined && sidecar.link.speaks('lookAhead') && {expectedMs}),
-		});
+		};
+		sidecar.undatedStarts.push(start);
+		sidecar.link.send(start);
 	}
 
 	/**
-	 * Returns the time by which an order made now is dated. Callers may have left since the sockets were last read, and may
-	 * have submitted their jobs elsewhere, so an order of an event loop that is late is as old as that; the sidecar refuses it
-	 * if it is too old.
+	 * Dates the starts that are about to be sent. Callers may have left since the sockets were last read, and may have submitted
+	 * their jobs elsewhere, so a start of an event loop that is late is as old as that; the sidecar refuses it if it is too old.
 	 */
-	private orderedFrom(now: number): number {
-		return now - Math.max(0, now - this.inputHandledUntil - inputLagMs);
+	private dateStarts(sidecar: Sidecar): void {
+		if (sidecar.undatedStarts.length === 0) {
+			return;
+		}
+
+		const now = this.clock.mono();
+		const unreadMs = Math.max(0, now - this.tickedAt - inputLagMs);
+		for (const start of sidecar.undatedStarts) {
+			start.stamp = sidecar.stamp;
+			start.age = Math.round(now - unreadMs - sidecar.stampedAt);
+		}
+
+		sidecar.undatedStarts = [];
 	}
 
 	private newestState(): SyncMessage {
--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -1,9 +1,11 @@
 import {once} from 'node:events';
 import {connect, type AddressInfo, type Socket} from 'node:net';
+import {Worker as Thread} from 'node:worker_threads';
 import test from 'ava';
 import {decodeDesired} from '../platform/desired.js';
 import {buildFront} from '../platform/front.js';
 import {systemClock} from '../src/adapters/clock.js';
+import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 import {
 	createJob, silentLog, startCluster, submit, waitUntil,
@@ -65,3 +67,63 @@
 	const {values} = await meters!.refusedRequests.get();
 	t.true(values.some(({labels: {why}, value}) => why === 'stale' && value > 0));
 });
+
+/** The code of a thread with a sidecar that reports its clock every 20 ms and says how old each start is on arrival, in milliseconds. */
+const sidecarCode = String.raw`
+	const {connect} = require('node:net');
+	const {parentPort, workerData} = require('node:worker_threads');
+	const [host, port] = workerData.split(':');
+	const link = connect(Number(port), host);
+	const send = message => link.write(JSON.stringify([message]) + '\n');
+	const room = {cpu: 1e9, memoryMb: 1e9, accelerators: 0};
+	const others = {cpu: 0, memoryMb: 0, accelerators: 0};
+	send({kind: 'hello', role: 'sidecar', node: 's', life: 's-1'});
+	send({kind: 'place', report: {zone: 'z', pool: 'p', room, others, isFailing: false}, stamp: performance.now(), clear: true});
+	setInterval(() => send({kind: 'room', others, stamp: performance.now(), clear: true}), 20);
+	let text = '';
+	link.on('data', chunk => {
+		const lines = (text + chunk).split('\n');
+		text = lines.pop();
+		for (const {kind, stamp, age} of lines.flatMap(line => JSON.parse(line))) {
+			if (kind === 'start') {
+				parentPort.postMessage(performance.now() - stamp - age);
+			}
+		}
+	});
+`;
+
+test('departed caller: the starts of an entry that takes a quarter of a second a turn are not refused as stale', async t => {
+	const entry = await Dispatcher.create({
+		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
+	}, systemClock, silentLog, DispatcherMetrics.create());
+	const thread = new Thread(sidecarCode, {eval: true, workerData: entry.address});
+	let isOver = false;
+	t.teardown(async () => {
+		isOver = true;
+		await thread.terminate();
+		entry.close();
+	});
+	const ages: number[] = [];
+	thread.on('message', (age: number) => {
+		ages.push(age);
+	});
+	await waitUntil(() => entry.schedule.placeCounts.open === 1);
+	const turn = (): void => {
+		for (const until = systemClock.mono() + 250; systemClock.mono() < until;) {
+			// The entry is busy.
+		}
+
+		if (!isOver) {
+			setTimeout(turn);
+		}
+	};
+
+	turn();
+	for (let index = 0; index < 4; index++) {
+		entry.submit(createJob(`j${index}`, 1), () => undefined);
+		await systemClock.sleep(200);
+	}
+
+	await waitUntil(() => ages.length === 4);
+	t.true(Math.max(...ages) <= requestMaxAgeMs, `${ages.join(', ')} ms`);
+});
