Guard: a stop that the worker refuses is sent again

A run that should have been stopped went on to its natural end, beside a second run of the task that its caller had submitted elsewhere 1,300 ms later. Only a stop without an answer was repeated: a refusal (an unwell worker, which has then done nothing, or a fence) counted as carried out, while the polls went on renewing the run's lease.

Whether it caused a run of the users' report is not known.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -529,7 +529,9 @@
 
 	private handleStopReply(run: RunId, reply: Reply, now: number, actions: Action[]): void {
 		const active = this.findRun(run);
-		if (reply.kind === 'unknown') {
+		// A worker that refuses a stop has done nothing, and its polls would go on renewing the run's lease.
+		const isOver = reply.kind === 'done' || (reply.kind === 'refused' && reply.reason === 'other-life');
+		if (!isOver) {
 			if (active !== undefined || this.orphanRuns.has(run.task)) {
 				actions.push({kind: 'stop', run});
 			}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -490,13 +490,13 @@
 
 		const reply = await this.executor.stop(run, this.fence, worker.incarnation);
 		this.updateFromReply(reply);
-		if (reply.kind === 'unknown') {
+		if (reply.kind !== 'done') {
 			await this.clock.sleep(retryPauseMs);
 		}
 
 		this.log.info({
-			event: 'stop', task: run.task, run: run.number, reply: reply.kind,
-		}, 'run stopped');
+			event: 'stop', task: run.task, run: run.number, reply: reply.kind, reason: reply.kind === 'refused' ? reply.reason : undefined,
+		}, reply.kind === 'done' ? 'run stopped' : 'stop not confirmed');
 		this.apply({kind: 'stopped', run, reply});
 	}
 
