Guard: a start dated by an earlier incarnation's clock is refused as stale

A restarted worker's clock begins anew. A start whose stamp came from the earlier incarnation seemed to lie far in the future (480,000 ms at a clock of 3,000), so that the limit on its age never applied: a late entry could start a task whatever had become of its caller. A poll's reply about an earlier incarnation no longer sets the clock either.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -442,7 +442,8 @@
 	}
 
 	private refusalFor(request: RunRequest, clock: number, now: number): StartRefusal | undefined {
-		if (clock - request.sentAt > requestMaxAgeMs) {
+		// A request that seems to come from the future is dated by the clock of an earlier incarnation of the worker, so that its age is not known.
+		if (Math.abs(clock - request.sentAt) > requestMaxAgeMs) {
 			return 'stale';
 		}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -539,7 +539,6 @@
 			waitMs: this.waitMs(sentAt),
 			marginMs: Math.min(maxMarginMs, marginMs * (2 ** this.unansweredPolls)),
 		}, worker.incarnation);
-		this.updateFromReply(result);
 		await this.handlePollResult(result, sentAt, worker);
 	}
 
@@ -552,6 +551,7 @@
 			return;
 		}
 
+		this.updateFromReply(result);
 		if (result.kind === 'seen' && worker && result.born > worker.born) {
 			this.log.warn({event: 'worker-restarted', life: worker.incarnation, born: result.born}, 'worker restarted');
 			this.setClockReading(result.clock);
