Links: reports of crashed workers, and the route of a start

Cause: an entry learns of a worker's crash only by runs that end as lost, so that nobody can count the crashes under a task. Change: the feature `crashes` of links, announced whenever their features are on. A start names the route of its job, and the message `crashed` names a worker's incarnation that crashed, when, and the tasks that were there. An entry passes it to its schedule, which does nothing with it yet; no sidecar sends it yet. The handling of `room` in the schedule moves to a method. A sidecar or entry that does not name the feature gets the same lines as before (the recorded lines of test/link-features.test.ts).

--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -162,14 +162,7 @@
 			}
 
 			case 'room': {
-				const place = this.places.get(event.place);
-				if (place) {
-					place.others = event.others;
-					place.outlook = event.releases !== undefined || event.reserved !== undefined ? {releases: event.releases ?? [], reserved: event.reserved, at: now} : undefined;
-					place.notBefore = 0;
-					this.fillPlace(event.place, now, actions);
-				}
-
+				this.handleRoom(event, now, actions);
 				break;
 			}
 
@@ -204,6 +197,10 @@
 				break;
 			}
 
+			case 'crashed': {
+				break;
+			}
+
 			case 'zones': {
 				this.places.unavailableZones = event.out;
 				break;
@@ -223,6 +220,18 @@
 		return actions;
 	}
 
+	private handleRoom({
+		place: name, others, releases, reserved,
+	}: Event & {kind: 'room'}, now: number, actions: Action[]): void {
+		const place = this.places.get(name);
+		if (place) {
+			place.others = others;
+			place.outlook = releases !== undefined || reserved !== undefined ? {releases: releases ?? [], reserved, at: now} : undefined;
+			place.notBefore = 0;
+			this.fillPlace(name, now, actions);
+		}
+	}
+
 	private submit(job: Job, now: number, actions: Action[]): void {
 		const tasks = job.tasks.map((spec): Task => ({
 			spec, state: 'waiting', ref: 0, place: '', placedAt: 0, notBefore: 0, failures: 0, lastFailedPlace: '', stopSent: false,
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -81,6 +81,8 @@
 	/** The sidecar did not start the task of order `ref`, and will not. */
 		| {kind: 'refused'; place: string; ref: number; why: StartRefusal}
 		| {kind: 'ended'; place: string; ref: number; outcome: Outcome; ranMs: number}
+	/** The incarnation `life` of the place's worker crashed `ageMs` ago and ran these tasks, or may have. The same crash may be reported again. `route` is empty where it is not known. */
+		| {kind: 'crashed'; place: string; life: string; ageMs: number; tasks: ReadonlyArray<readonly [name: string, route: string]>}
 	/** The availability zones that get no work. */
 		| {kind: 'zones'; out: ReadonlySet<string>}
 	/** The entry is shutting down: only jobs expected to end by `until` are admitted. */
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -233,7 +233,8 @@
 			case 'room':
 			case 'offer':
 			case 'refused':
-			case 'ended': {
+			case 'ended':
+			case 'crashed': {
 				this.handleSidecarMessage(message, link);
 				break;
 			}
@@ -484,6 +485,17 @@
 				});
 				break;
 			}
+
+			case 'crashed': {
+				const {life, ageMs, tasks} = message;
+				this.log.info({
+					event: 'worker-crashed', place, life, ageMs, tasks: tasks.length,
+				}, 'worker of a place has crashed');
+				this.apply({
+					kind: 'crashed', place, life, ageMs, tasks,
+				});
+				break;
+			}
 		}
 	}
 
@@ -641,6 +653,7 @@
 			stamp: sidecar.stamp,
 			age: Math.round(this.clock.mono() - sidecar.stampedAt),
 			...(expectedMs !== undefined && sidecar.link.speaks('lookAhead') && {expectedMs}),
+			...(sidecar.link.speaks('crashes') && {route: job.route}),
 		});
 	}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -217,6 +217,7 @@
 			case 'offer':
 			case 'refused':
 			case 'ended':
+			case 'crashed':
 			case 'newest':
 			case 'fetch':
 			case 'desired': {
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -14,9 +14,11 @@
 const release = z.tuple([z.number(), z.number()]).readonly();
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
-export type Feature = 'specs' | 'msgpack' | 'parts' | 'lookAhead';
-/** The features of this version that concern the form of messages. */
-export const features: readonly Feature[] = ['specs', 'msgpack', 'parts'];
+export type Feature = 'specs' | 'msgpack' | 'parts' | 'crashes' | 'lookAhead';
+/** The features of this version that are announced whenever those of the links are on. */
+export const features: readonly Feature[] = ['specs', 'msgpack', 'parts', 'crashes'];
+/** The most tasks that the report of a crash names. */
+export const maxCrashedTasks = 1000;
 
 /** Returns the features that a side announces; none where those of the links are switched off. `lookAhead`: whether it uses the fields of look-ahead placement. */
 export function announcedFeatures(links: boolean, lookAhead: boolean): readonly Feature[] | undefined {
@@ -69,6 +71,10 @@
 	z.object({
 		kind: z.literal('ended'), ref, outcome: z.enum(['done', 'failed', 'lost']), ranMs: z.number(),
 	}),
+	/** The incarnation `life` of the worker crashed `ageMs` ago. It ran these tasks, or may have; `route` is empty where it is not known. */
+	z.object({
+		kind: z.literal('crashed'), life: z.string(), ageMs: z.number().min(0), tasks: z.array(z.tuple([z.string(), z.string()]).readonly()).max(maxCrashedTasks).readonly(),
+	}),
 ] as const;
 
 /** The messages from an entry to a sidecar. */
@@ -78,6 +84,8 @@
 		kind: z.literal('start'), ref, task: z.string().min(1), room, spec: z.string().optional(), specId: ref.optional(), stamp, age: z.number(),
 		/** The run time that the entry expects there, in milliseconds. */
 		expectedMs: z.number().optional(),
+		/** The route of the task's job. */
+		route: z.string().optional(),
 	}).refine(({spec, specId}) => (spec === undefined) !== (specId === undefined), {path: ['spec'], error: 'expected either spec or specId'}),
 	/** The text of a job, for the starts that follow on the link. */
 	z.object({kind: z.literal('spec'), id: ref, text: z.string()}),
--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -158,6 +158,16 @@
 	});
 }
 
+// Guards against a field of crash reports on a link to a sidecar of an earlier version.
+for (const [announced, routes] of [['crashes', ['r', 'r']], ['specs', [undefined, undefined]]] as const) {
+	test(`link features: a start ${announced === 'crashes' ? 'names' : 'does not name'} its route to a sidecar that names ${announced}`, async t => {
+		const {entry, peer} = await sidecarOf(t, [announced]);
+		void submit(entry, createJob('j'));
+		await waitUntil(() => peer.ofKind('start').length === 2);
+		t.deepEqual(peer.ofKind('start').map(({route}) => route), [...routes]);
+	});
+}
+
 for (const announced of ['lookAhead', 'specs']) {
 	test(`link features: releases ${announced === 'lookAhead' ? 'are' : 'are not'} reported to an entry that names ${announced}`, async t => {
 		const {peer} = await entryOf(t, [announced]);
--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -39,6 +39,9 @@
 	{
 		kind: 'ended', ref: 1, outcome: 'done', ranMs: 5,
 	},
+	{
+		kind: 'crashed', life: 'w', ageMs: 5, tasks: [['t', 'r']],
+	},
 	{
 		kind: 'start', ref: 1, task: 't', room, spec: '', stamp: 1, age: 1,
 	},
@@ -84,6 +87,10 @@
 	['a hindrance that is none', [hello('sidecar'), place.replace('draining', 'tired')]],
 	['features of another type', ['[{"kind":"hello","role":"entry","node":"liar","life":"l","features":[7]}]']],
 	['a start without a text', [hello('entry'), '[{"kind":"start","ref":1,"task":"t","room":{"cpu":1,"memoryMb":1,"accelerators":0},"stamp":1,"age":1}]']],
+	['a crash in the future', [hello('sidecar'), '[{"kind":"crashed","life":"w","ageMs":-1,"tasks":[]}]']],
+	['a crash with too many tasks', [hello('sidecar'), JSON.stringify([{
+		kind: 'crashed', life: 'w', ageMs: 0, tasks: Array.from({length: 1001}, () => ['t', 'r']),
+	}])]],
 	['a number of another type', [hello('sidecar'), '[{"kind":"ended","ref":"1","outcome":"done","ranMs":5}]']],
 ] as const;
 
