Guard: a worker that refuses a connection is absent at once, and a refused start has not run

Cause: after a worker had crashed, its place was offered tasks until three polls in a row were unanswered. Each start met a refused connection, counted as one that may have been carried out, and was lost with the next poll. Lost runs don't count as attempts, so the jobs went round. Change: a start whose connection was refused was never sent, so it is refused as `absent` (unless the worker has listed its run). From the first refused connection on, of a poll or a start, the worker is absent until a poll is answered or a newer incarnation reports, and entries are told at once.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -144,6 +144,8 @@
 	private hasLeft = false;
 	/** Polls without an answer in a row. */
 	private unansweredPolls = 0;
+	/** Whether the worker refused a connection and has not answered since. */
+	private hasRefusedConnection = false;
 	/** Runs in a row, of any owner, that failed or hung. */
 	private consecutiveFailures = 0;
 
@@ -151,7 +153,7 @@
 
 	/** Whether polls are needed, to renew leases, collect ends or find out whether the worker answers again. */
 	get needsPolling(): boolean {
-		return this.runs.size > 0 || this.mayHaveOrphans || this.orphanRuns.size > 0 || this.unansweredPolls > 0;
+		return this.runs.size > 0 || this.mayHaveOrphans || this.orphanRuns.size > 0 || this.unansweredPolls > 0 || this.hasRefusedConnection;
 	}
 
 	/** Whether the state of some run is unknown or about to change: orphans, unanswered starts, stops. */
@@ -175,7 +177,7 @@
 			return 'stopping';
 		}
 
-		if (!this.worker || this.hasLeft || this.unansweredPolls >= unansweredPollLimit) {
+		if (!this.worker || this.hasLeft || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
 			return 'absent';
 		}
 
@@ -466,6 +468,7 @@
 		this.worker = worker.born === previous?.born && previous.draining ? {...worker, draining: true} : worker;
 		if (worker.born !== previous?.born) {
 			this.hasLeft = false;
+			this.workerAnswered();
 		}
 	}
 
@@ -504,7 +507,11 @@
 			}
 
 			case 'unknown': {
-				if (active.phase === 'starting') {
+				this.hasRefusedConnection ||= reply.absent;
+				if (reply.absent && !active.hasBegun) {
+					// Without a connection the order never reached the worker.
+					this.refuseRun(active, 'absent', actions);
+				} else if (active.phase === 'starting') {
 					active.phase = 'unsettled';
 					active.conclusiveFrom = now;
 				}
@@ -527,6 +534,12 @@
 		}
 	}
 
+	/** Something listens at the worker's address again. */
+	private workerAnswered(): void {
+		this.unansweredPolls = 0;
+		this.hasRefusedConnection = false;
+	}
+
 	private handleStopReply(run: RunId, reply: Reply, now: number, actions: Action[]): void {
 		const active = this.findRun(run);
 		if (reply.kind === 'unknown') {
@@ -549,11 +562,17 @@
 				this.hasLeft = true;
 			}
 
-			this.unansweredPolls += result.kind === 'unknown' ? 1 : 0;
+			if (result.kind === 'unknown') {
+				this.unansweredPolls++;
+				this.hasRefusedConnection ||= result.absent;
+			} else {
+				this.hasRefusedConnection = false;
+			}
+
 			return;
 		}
 
-		this.unansweredPolls = 0;
+		this.workerAnswered();
 
 		if (this.worker && result.born > this.worker.born) {
 			this.handleRestart(now, actions);
--- a/src/ports/executor.ts
+++ b/src/ports/executor.ts
@@ -25,7 +25,7 @@
 		| 'other-life'
 		| 'invalid';
 
-/** The result of an order. Nothing may be assumed about an `unknown` one: it may still be carried out. */
+/** The result of an order. An `unknown` one may still be carried out, unless it is `absent`: no connection was made, so the worker never gets it. */
 export type Reply
 	= | {kind: 'done'; clock?: number}
 		| {kind: 'refused'; reason: WorkerRefusal; clock?: number}
@@ -53,7 +53,7 @@
 export type PollResult
 	= | {kind: 'seen'; clock: number; born: number; running: readonly RunId[]; ended: readonly EndedRun[]}
 		| {kind: 'refused'; reason: WorkerRefusal; clock?: number}
-	/** `absent` is set if nothing listens at the address. */
+	/** `absent`: nothing listens at the address. */
 		| {kind: 'unknown'; cause: string; absent: boolean};
 
 /**
--- a/test/ephemeral-cluster.ts
+++ b/test/ephemeral-cluster.ts
@@ -19,6 +19,8 @@
 export type ModelExecutor = Executor & {
 	/** Whether calls are lost before they reach the worker. */
 	silent: boolean;
+	/** Whether nothing listens at the worker's address. */
+	refuses: boolean;
 	/** Lets the time that has passed since pass at the worker. */
 	advance(): void;
 };
@@ -34,21 +36,24 @@
 	};
 
 	const lost = {kind: 'unknown', cause: 'silent', absent: false} as const;
+	const refused = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
+	const failure = () => executor.refuses ? refused : (executor.silent ? lost : undefined);
 	const executor: ModelExecutor = {
 		silent: false,
+		refuses: false,
 		advance,
 		async start(order) {
 			advance();
-			return executor.silent ? lost : worker.start(order, work);
+			return failure() ?? worker.start(order, work);
 		},
 		async stop(run, fence) {
 			advance();
-			return executor.silent ? lost : worker.stop(run, fence);
+			return failure() ?? worker.stop(run, fence);
 		},
 		async poll(renewal) {
 			await systemClock.sleep(Math.min(renewal.waitMs, pollMs));
 			advance();
-			return executor.silent ? lost : worker.renew(renewal);
+			return failure() ?? worker.renew(renewal);
 		},
 		async close() {
 			executor.silent = true;
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -37,6 +37,10 @@
 });
 const offer = (owner: string): Record<string, unknown> => ({kind: 'offer', owner});
 const unansweredPoll: Event = {kind: 'polled', result: unknown, sentAt: 0};
+/** Nothing listens at the worker's address. */
+const refusedConnection = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
+const refusedPoll: Event = {kind: 'polled', result: refusedConnection, sentAt: 0};
+const restarted: Event = {kind: 'reported', worker: worker({incarnation: 'w2', born: 2})};
 const refuse = (why: string, ref = 1): Record<string, unknown> => ({
 	kind: 'refuse', owner: 'e1', ref, why,
 });
@@ -111,6 +115,19 @@
 	['a lost entry gets no offer', [...ready, requested({resources: cpuOnly(7)}), want('e2'), {kind: 'ownerLost', owner: 'e2'}, polled({ended: [end()]})], [ended('done', 0)]],
 	['capacity reserved for a lost entry is released', [...ready, want('e2', 7), {kind: 'ownerLost', owner: 'e2'}, requested()], [{kind: 'start', run: run(), request: request()}]],
 	['no capacity of a draining worker is offered', [...ready, {kind: 'reported', worker: worker({draining: true})}, want('e2')], []],
+	['a start whose connection was refused was not carried out, and is no lost run', [...ready, requested(), started(refusedConnection)], [refuse('absent')]],
+	['a stopped start whose connection was refused was not carried out', [...ready, requested(), cancel, started(refusedConnection)], [refuse('absent')]],
+	['nothing more starts at a worker that refused the connection of a start', [...ready, requested(), started(refusedConnection), requested({ref: 2})], [refuse('absent', 2)]],
+	['a run that the worker lists is not told as not run', [...ready, requested(), polled({running: [run()]}), started(refusedConnection)], []],
+	['nothing starts at a worker that refused the connection of one poll', [...ready, refusedPoll, {kind: 'lapsed'}, requested()], [refuse('absent')]],
+	['a lost poll after a refused connection does not open the worker', [...ready, refusedPoll, unansweredPoll, requested()], [refuse('absent')]],
+	['tasks start at a worker that answers after a refused connection', [...ready, refusedPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
+	['a newer incarnation after a refused connection is polled for orphan runs first', [...ready, refusedPoll, {kind: 'lapsed'}, restarted, requested()], [refuse('unsettled')]],
+	[
+		'tasks start at a newer incarnation after unanswered polls',
+		[...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, unansweredPoll, unansweredPoll, restarted, polled({born: 2}), requested()],
+		[{kind: 'start', run: run(2), request: request()}],
+	],
 	['tasks start at a worker that answers again', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	test(`guard: ${title}`, t => {
@@ -194,9 +211,9 @@
 		| {kind: 'wait'; ms: number}
 		| {kind: 'workerRestart' | 'sidecarRestart' | 'drain' | 'zoneOut' | 'zoneIn'};
 /** What happens to a start order and its answer. */
-type Fate = 'answered' | 'answer lost' | 'late' | 'dropped';
+type Fate = 'answered' | 'answer lost' | 'late' | 'dropped' | 'connection refused';
 
-const fate = fc.oneof({arbitrary: fc.constant<Fate>('answered'), weight: 6}, {arbitrary: fc.constantFrom<Fate>('answer lost', 'late', 'dropped'), weight: 2});
+const fate = fc.oneof({arbitrary: fc.constant<Fate>('answered'), weight: 6}, {arbitrary: fc.constantFrom<Fate>('answer lost', 'late', 'dropped', 'connection refused'), weight: 2});
 const step: fc.Arbitrary<Step> = fc.oneof(
 	{
 		weight: 8,
@@ -455,6 +472,11 @@
 				this.step({kind: 'started', run: {task, number}, reply: unknown});
 				break;
 			}
+
+			case 'connection refused': {
+				this.step({kind: 'started', run: {task, number}, reply: refusedConnection});
+				break;
+			}
 		}
 	}
 
