Guard, driver: entries are told of a worker's crash and of the tasks that were there

Cause: a crash ended all runs of a worker as lost, as an expired lease does, and each entry heard only of its own runs. So nobody could count the workers that crashed under a task. Change: the guard tells a crash (a newer incarnation by report or by `born`, the reply of another one, a refused connection of a poll) from silence, and from the end of a worker that had left or was draining. It names the tasks that ran or may have run there once, before their runs end; a start that was refused, or whose connection was, is not named. The driver logs and counts each crash, sends those with tasks to all entries on links that speak `crashes`, and keeps the last 32 for 60 s for entries that link later. An incarnation is named by its name and start, since a worker may start again under its name. Three older guard cases expect the new action before the ends; nothing else in them changed. Measured: 9 of 14 new guard cases and the 3 older ones failed on the code before, which had no such action, and the driver test did not end; all pass now. The driver test has two entries and a worker that crashes under two tasks of the first: both hear of it once, the first before its two lost runs, and an entry that links 500 ms later hears of it too, unless its links have their features off.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -14,6 +14,8 @@
 	task: string;
 	resources: Resources;
 	spec: string;
+	/** The route of the task's job, if the entry said. */
+	route?: string;
 	/** The latest time at which the entry can have sent it, in worker-clock milliseconds. */
 	sentAt: number;
 	/** The run time that the entry expects here, in milliseconds. */
@@ -40,6 +42,9 @@
 /** Outcome is the result of a request that was started. `lost`: it may have run, but neither succeeded nor failed by itself. */
 export type Outcome = 'done' | 'failed' | 'lost';
 
+/** CrashSign is what showed that an incarnation of the worker has crashed: a report or the `born` of a poll's reply of a newer one, a reply of another one, or a refused connection. */
+export type CrashSign = 'report' | 'born' | 'reply' | 'connection';
+
 /** Event is an input of the guard: `request`, `cancel`, `ownerLost` and `want` concern an entry, the others the worker or this sidecar. */
 export type Event
 	= | {kind: 'request'; request: RunRequest; clock: number}
@@ -66,7 +71,9 @@
 		| {kind: 'refuse'; owner: string; ref: number; why: StartRefusal}
 	/** The capacity that the owner requested is free and reserved for it for `offerHoldMs`. */
 		| {kind: 'offer'; owner: string}
-		| {kind: 'end'; owner: string; ref: number; outcome: Outcome; ranMs: number};
+		| {kind: 'end'; owner: string; ref: number; outcome: Outcome; ranMs: number}
+	/** The incarnation `life` of the worker crashed and ran these tasks, or may have. It comes once, before the ends of their runs. `route` is empty where it is not known. */
+		| {kind: 'crashed'; life: string; sign: CrashSign; tasks: ReadonlyArray<readonly [name: string, route: string]>};
 
 /** The maximum age of a request on arrival, in worker-clock milliseconds; less than the silence after which its entry closes the link. */
 export const requestMaxAgeMs = 600;
@@ -142,6 +149,8 @@
 	private isZoneOut = false;
 	private isStopping = false;
 	private hasLeft = false;
+	/** Whether the crash of the worker's current incarnation has been told. */
+	private hasCrashed = false;
 	/** Polls without an answer in a row. */
 	private unansweredPolls = 0;
 	/** Whether the worker refused a connection and has not answered since. */
@@ -462,24 +471,46 @@
 		}
 
 		if (previous && worker.born > previous.born) {
-			this.handleRestart(now, actions);
+			this.handleRestart('report', now, actions);
 		}
 
 		this.worker = worker.born === previous?.born && previous.draining ? {...worker, draining: true} : worker;
 		if (worker.born !== previous?.born) {
 			this.hasLeft = false;
+			this.hasCrashed = false;
 			this.workerAnswered();
 		}
 	}
 
 	/** A restarted worker numbers its ends from 1 again, and runs at most what an earlier incarnation of this process started there. */
-	private handleRestart(now: number, actions: Action[]): void {
+	private handleRestart(sign: CrashSign, now: number, actions: Action[]): void {
+		this.recordCrash(sign, actions);
 		this.lastEndSequence = 0;
 		this.consecutiveFailures = 0;
 		this.endAllRuns(now, actions);
 		this.mayHaveOrphans = true;
 	}
 
+	/** Tells of the crash of the current incarnation, unless that was to end: it had left or was draining. */
+	private recordCrash(sign: CrashSign, actions: Action[]): void {
+		const {worker} = this;
+		const tasks = [
+			...[...this.runs.values()].map(({request: {task, route = ''}}) => [task, route] as const),
+			...[...this.orphanRuns.keys()].filter(task => !this.runs.has(task)).map(task => [task, ''] as const),
+		];
+		// A worker that has just started may not listen yet.
+		const mayBeStarting = sign === 'connection' && tasks.length === 0;
+		if (!worker || worker.draining || this.hasLeft || this.hasCrashed || mayBeStarting) {
+			return;
+		}
+
+		this.hasCrashed = true;
+		// A worker may start again under the name that it had, so the name alone does not identify an incarnation.
+		actions.push({
+			kind: 'crashed', life: `${worker.incarnation}/${worker.born}`, sign, tasks,
+		});
+	}
+
 	/** Ends every run as lost, once it is known that nothing that was started still runs. */
 	private endAllRuns(now: number, actions: Action[]): void {
 		this.mayHaveOrphans = false;
@@ -558,13 +589,16 @@
 	private handlePoll(result: PollResult, sentAt: number, now: number, actions: Action[]): void {
 		if (result.kind !== 'seen') {
 			if (result.kind === 'refused' && result.reason === 'other-life') {
-				this.handleRestart(now, actions);
+				this.handleRestart('reply', now, actions);
 				this.hasLeft = true;
 			}
 
 			if (result.kind === 'unknown') {
 				this.unansweredPolls++;
-				this.hasRefusedConnection ||= result.absent;
+				if (result.absent) {
+					this.hasRefusedConnection = true;
+					this.recordCrash('connection', actions);
+				}
 			} else {
 				this.hasRefusedConnection = false;
 			}
@@ -575,7 +609,8 @@
 		this.workerAnswered();
 
 		if (this.worker && result.born > this.worker.born) {
-			this.handleRestart(now, actions);
+			this.handleRestart('born', now, actions);
+			this.hasCrashed = false;
 			this.worker = {...this.worker, born: result.born};
 		}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -18,7 +18,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
@@ -60,9 +60,16 @@
 const reportedLabels = 2;
 /** How far the time at which the worker leaves may move without a new report to the entries, in milliseconds. */
 const leaveToleranceMs = 50;
+/** How long a crash of the worker is reported to entries that link, in milliseconds. */
+const crashRetentionMs = 60_000;
+/** How many crashes are kept for that. */
+const maxCrashes = 32;
 /** How long a surplus link stays open after its entry was told to send nothing more, in milliseconds: a request may be 600 old. */
 const closeDelayMs = 1000;
 
+/** Crash is what entries are told of a crash of the worker, at a time on the local clock. */
+type Crash = {life: string; at: number; tasks: ReadonlyArray<readonly [name: string, route: string]>};
+
 /**
  * Driver is the sidecar's side of jobs kept in memory. It carries out its guard's decisions at the worker,
  * renews the leases there, and answers the entries.
@@ -97,6 +104,8 @@
 	private renewedAt = 0;
 	/** When a draining worker leaves at the earliest, on the local clock, if it has said so. */
 	private leavesAt?: number;
+	/** The latest crashes of the worker, the oldest first. */
+	private crashes: Crash[] = [];
 	private wake = deferred<void>();
 	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
 	private closed = false;
@@ -304,6 +313,11 @@
 		this.owners.get(owner)?.close();
 		this.owners.set(owner, link);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
+		this.dropOldCrashes();
+		for (const crash of this.crashes) {
+			this.reportCrash(crash, link);
+		}
+
 		this.reportPlace(link);
 	}
 
@@ -346,7 +360,7 @@
 	}
 
 	private handleStart({
-		ref, task, room: resources, spec: inlineSpec, specId, stamp, age, expectedMs,
+		ref, task, room: resources, spec: inlineSpec, specId, stamp, age, expectedMs, route,
 	}: MessageToSidecar & {kind: 'start'}, link: Link): void {
 		const spec = specId === undefined ? inlineSpec : this.texts.get(link)?.get(specId);
 		if (spec === undefined) {
@@ -359,7 +373,7 @@
 		}
 
 		const request: RunRequest = {
-			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
+			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
 		this.apply({kind: 'request', request, clock: this.workerClock()});
 	}
@@ -464,6 +478,42 @@
 				});
 				break;
 			}
+
+			case 'crashed': {
+				this.handleCrash(action);
+				break;
+			}
+		}
+	}
+
+	/** Tells all entries of a crash of the worker, and keeps it for those that link later. One without tasks tells them nothing. */
+	private handleCrash({life, sign, tasks}: Action & {kind: 'crashed'}): void {
+		this.meters.workerCrashes.inc({sign});
+		this.log.warn({
+			event: 'worker-crashed', life, sign, tasks,
+		}, 'worker crashed');
+		if (tasks.length === 0) {
+			return;
+		}
+
+		const crash: Crash = {life, at: this.clock.mono(), tasks: tasks.slice(0, maxCrashedTasks)};
+		this.crashes.push(crash);
+		this.dropOldCrashes();
+		for (const link of this.owners.values()) {
+			this.reportCrash(crash, link);
+		}
+	}
+
+	private dropOldCrashes(): void {
+		const now = this.clock.mono();
+		this.crashes = this.crashes.filter(({at}) => now - at < crashRetentionMs).slice(-maxCrashes);
+	}
+
+	private reportCrash({life, at, tasks}: Crash, link: Link): void {
+		if (link.speaks('crashes')) {
+			link.send({
+				kind: 'crashed', life, ageMs: Math.round(this.clock.mono() - at), tasks,
+			});
 		}
 	}
 
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -86,6 +86,7 @@
 	readonly offers = counter(this.registry, 'offers_total', 'Room offered to entries that wanted some.', []);
 	readonly endedRuns = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
 	readonly unansweredPolls = counter(this.registry, 'looks_unanswered_total', 'Looks at the worker without an answer.', []);
+	readonly workerCrashes = counter(this.registry, 'worker_crashes_total', 'Crashes of the worker by what showed them.', ['sign']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -1,9 +1,28 @@
 import test from 'ava';
 import {systemClock} from '../src/adapters/clock.js';
+import type {Event} from '../src/decide/schedule/schedule.js';
+import {Dispatcher} from '../src/ephemeral/dispatcher.js';
+import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
+import {policySettings} from '../src/settings/policy.js';
 import {
-	createJob, room, startCluster, submit, waitUntil,
+	createJob, room, silentLog, startCluster, submit, waitUntil,
 } from './ephemeral-cluster.js';
 
+/** Returns the crashes and ends of runs that an entry hears of from now on. */
+function listen({schedule}: Dispatcher): Array<Event & {kind: 'crashed' | 'ended'}> {
+	const events: Array<Event & {kind: 'crashed' | 'ended'}> = [];
+	const step = schedule.step.bind(schedule);
+	schedule.step = (event, now) => {
+		if (event.kind === 'crashed' || event.kind === 'ended') {
+			events.push(event);
+		}
+
+		return step(event, now);
+	};
+
+	return events;
+}
+
 /** How long a worker stays away after a crash, in milliseconds. */
 const awayMs = 500;
 
@@ -27,3 +46,36 @@
 	t.is(await counted(), 2);
 	t.deepEqual(worker!.violations, []);
 });
+
+// Guards against a count of crashes that dies with the entry whose tasks ran there, and against one that misses the crash when it counts the lost run.
+test('crashes: all entries hear of a crash before the lost runs, and those that link later hear of it too', async t => {
+	const {entries, driverMetrics: [metrics], workers: [worker], executors: [executor]} = await startCluster(t, 2, 1, 300);
+	await waitUntil(() => entries.every(({schedule}) => schedule.placeCounts.open === 1));
+	const heard = entries.map(entry => listen(entry));
+	void submit(entries[0]!, createJob('j'));
+	await waitUntil(() => worker!.tasks.length === 2);
+	worker!.restart();
+	executor!.refuses = true;
+	await waitUntil(() => heard[0]!.length === 3 && heard[1]!.length > 0);
+	const crash = {
+		kind: 'crashed', place: 's0', life: 'w-s0/1', tasks: [['j.0', 'r'], ['j.1', 'r']],
+	} as const;
+	t.like(heard[0]![0], crash);
+	t.deepEqual(heard[0]!.map(event => event.kind === 'ended' ? event.outcome : event.kind), ['crashed', 'lost', 'lost']);
+	t.like(heard[1]![0], crash);
+	t.deepEqual((await metrics!.workerCrashes.get()).values.map(({labels, value}) => [labels.sign, value]), [['connection', 1]]);
+
+	await systemClock.sleep(awayMs);
+	for (const [links, count] of [['auto', 1], ['off', 0]] as const) {
+		const late = await Dispatcher.create({
+			node: `late-${links}`, incarnation: links, address: '127.0.0.1:0', seeds: [entries[0]!.address], policy: policySettings.parse({links: {enabled: links}}),
+		}, systemClock, silentLog, DispatcherMetrics.create());
+		t.teardown(() => {
+			late.close();
+		});
+		const lateHeard = listen(late);
+		await waitUntil(() => late.schedule.placeCounts.linked === 1);
+		t.is(lateHeard.length, count);
+		t.true(lateHeard.every(event => event.kind === 'crashed' && event.ageMs >= awayMs && event.ageMs < awayMs + 3000));
+	}
+});
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -50,6 +50,10 @@
 const stop = {kind: 'stop', run: run()};
 const reported: Event = {kind: 'reported', worker: worker()};
 const ready: Event[] = [reported, polled({}, 0)];
+const crashed = (sign: string, tasks: string[][] = [['t', '']], life = 'w1/1'): Record<string, unknown> => ({
+	kind: 'crashed', life, sign, tasks,
+});
+const otherLife: Event = {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0};
 
 for (const [title, events, last] of [
 	['nothing starts before the worker is known', [requested()], [refuse('absent')]],
@@ -96,9 +100,9 @@
 		[reported, polled({running: [run(5)]}), polled({ended: [end({number: 5})]}), requested()],
 		[{kind: 'start', run: run(6), request: request()}],
 	],
-	['runs are lost when their worker restarts', [...ready, requested(), started(), {kind: 'reported', worker: worker({incarnation: 'w2', born: 2})}], [ended('lost', 0)]],
-	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [ended('lost', 0)]],
-	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0}], [ended('lost', 0)]],
+	['runs are lost when their worker restarts', [...ready, requested(), started(), restarted], [crashed('report'), ended('lost', 0)]],
+	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [crashed('born'), ended('lost', 0)]],
+	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), otherLife], [crashed('reply'), ended('lost', 0)]],
 	['all runs are lost when all leases have expired', [...ready, requested(), started(), {kind: 'lapsed'}], [ended('lost', 0)]],
 	['nothing starts at a worker after three unanswered polls', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['free capacity is offered to the owner that requested it', [...ready, want('e2')], [offer('e2')]],
@@ -141,6 +145,36 @@
 	});
 }
 
+const draining: Event = {kind: 'reported', worker: worker({draining: true})};
+
+for (const [title, events, expected] of [
+	['names a run that a refused connection shows to be gone, once', [...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, restarted, polled({born: 2})], [crashed('connection')]],
+	['names the routes that entries said', [...ready, requested({route: 'r'}), started(), refusedPoll], [crashed('connection', [['t', 'r']])]],
+	['names a start whose answer is open or was lost', [...ready, requested(), requested({task: 'u', ref: 2}), started(unknown), refusedPoll], [crashed('connection', [['t', ''], ['u', '']])]],
+	['names a run that is being stopped, of a lost entry too', [...ready, requested(), started(), ownerLost, refusedPoll], [crashed('connection')]],
+	['names runs of an earlier sidecar', [reported, polled({running: [run()]}), refusedPoll], [crashed('connection')]],
+	['names no start that was refused, or whose connection was', [...ready, requested(), started(refusedConnection), restarted], [crashed('report', [])]],
+	['names no run that had ended', [...ready, requested(), started(), polled({ended: [end()]}), otherLife], [crashed('reply', [])]],
+	[
+		'is told once of each incarnation',
+		[...ready, requested(), started(), otherLife, restarted, polled({born: 2}), requested(), started(done, 2), polled({born: 3})],
+		[crashed('reply'), crashed('born', [['t', '']], 'w2/2')],
+	],
+	['is told of an incarnation with the name of the one before', [...ready, polled({born: 2}), {kind: 'reported', worker: worker({born: 3})}], [crashed('born', []), crashed('report', [], 'w1/2')]],
+	['is not what ends runs when leases run out in silence', [...ready, requested(), started(), unansweredPoll, {kind: 'lapsed'}], []],
+	['is not a worker that does not listen yet', [reported, refusedPoll, polled()], []],
+	['is not the end of a worker that has left', [...ready, requested(), started(), {kind: 'left', incarnation: 'w1'}, refusedPoll, restarted], []],
+	['is not the end of a draining worker', [...ready, requested(), started(), draining, refusedPoll, {kind: 'lapsed'}, restarted], []],
+	['is not a new incarnation after a drain', [...ready, requested(), started(), draining, polled({born: 2})], []],
+] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
+	// Guards against a task that is held to blame for an end that was planned, and against a crash that is counted twice or not at all.
+	test(`guard: a crash ${title}`, t => {
+		const guard = Guard.create();
+		const actions = events.flatMap(event => guard.step(event, 0));
+		t.deepEqual(actions.filter(({kind}) => kind === 'crashed') as Array<Record<string, unknown>>, expected);
+	});
+}
+
 /** Returns the events of a run that begins and ends as given. */
 const runThatEnds = (number: number, ending: EndedRun['ending']): Event[] => [
 	requested({owner: `e${number}`, ref: number}), started(done, number), polled({ended: [end({sequence: number, number, ending})]}),
@@ -415,6 +449,10 @@
 				break;
 			}
 
+			case 'crashed': {
+				break;
+			}
+
 			case 'refuse':
 			case 'end': {
 				if (this.answered.has(action.ref)) {
--- a/test/reservation.test.ts
+++ b/test/reservation.test.ts
@@ -49,7 +49,8 @@
 		}
 
 		case 'stop':
-		case 'end': {
+		case 'end':
+		case 'crashed': {
 			return action.kind;
 		}
 	}
