Driver, guard: a changed capacity is reported at once, and nothing starts on one that is not known

Cause: entries heard of a worker's capacity only when it was found, drained or changed its leave. They ordered starts by the old capacity, and missed one that grew. A newer incarnation that a poll showed first was given the capacity of the one before. Change: a report with another capacity goes to all entries at once. After a poll has shown a newer incarnation nothing starts before that has reported. A reservation that no longer fits the capacity ends, since it held others back without use.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -149,6 +149,8 @@
 	private isZoneOut = false;
 	private isStopping = false;
 	private hasLeft = false;
+	/** Whether the worker's current incarnation has reported its capacity. One that a poll has shown may have less than the one before. */
+	private isCapacityKnown = true;
 	/** Whether the crash of the worker's current incarnation has been told. */
 	private hasCrashed = false;
 	/** Polls without an answer in a row. */
@@ -186,7 +188,7 @@
 			return 'stopping';
 		}
 
-		if (!this.worker || this.hasLeft || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
+		if (!this.worker || !this.isCapacityKnown || this.hasLeft || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
 			return 'absent';
 		}
 
@@ -474,6 +476,11 @@
 			this.handleRestart('report', now, actions);
 		}
 
+		this.isCapacityKnown = true;
+		if (this.reservation && !fits(this.reservation.resources, worker.capacity)) {
+			this.endReservationOf(this.reservation.owner, now);
+		}
+
 		this.worker = worker.born === previous?.born && previous.draining ? {...worker, draining: true} : worker;
 		if (worker.born !== previous?.born) {
 			this.hasLeft = false;
@@ -611,6 +618,7 @@
 		if (this.worker && result.born > this.worker.born) {
 			this.handleRestart('born', now, actions);
 			this.hasCrashed = false;
+			this.isCapacityKnown = false;
 			this.worker = {...this.worker, born: result.born};
 		}
 
--- a/src/decide/resources.ts
+++ b/src/decide/resources.ts
@@ -6,6 +6,11 @@
 	return size.cpu <= capacity.cpu && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
 }
 
+/** Whether two sizes are the same. */
+export function isSameSize(one: Resources, other: Resources): boolean {
+	return fits(one, other) && fits(other, one);
+}
+
 /** Adds resources to a sum in place, or subtracts them. */
 export function addResources(sum: Resources, size: Resources, sign: 1 | -1): void {
 	sum.cpu += sign * size.cpu;
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -6,6 +6,7 @@
 import {isExpectedTime} from '../decide/look-ahead.js';
 import {nextFence} from '../decide/fence.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
+import {isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, PollResult, Reply, RunId,
@@ -161,7 +162,8 @@
 
 		this.apply({kind: 'reported', worker});
 		const leaveMoved = this.updateLeave(worker, newer);
-		if (newer || leaveMoved || before.draining !== worker.draining) {
+		const resized = before !== undefined && !isSameSize(before.capacity, this.guard.worker!.capacity);
+		if (newer || leaveMoved || resized || before.draining !== worker.draining) {
 			this.log.info({
 				event: 'worker', life: worker.incarnation, born: worker.born, draining: worker.draining, remainingMs: worker.remainingMs, room: worker.capacity, fence: this.fence,
 			}, newer ? 'worker found' : 'worker changed');
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -145,6 +145,35 @@
 	});
 }
 
+/** The worker reports another capacity. */
+const resized = (cpu: number): Event => ({kind: 'reported', worker: worker({capacity: {...cpuOnly(cpu), memoryMb: 100}})});
+const startOf = (fields: Partial<RunRequest> = {}): Record<string, unknown> => ({kind: 'start', run: {...run(), task: fields.task ?? 't'}, request: request(fields)});
+const second = {task: 'u', ref: 2};
+
+for (const [title, events, last] of [
+	['a task over a capacity that shrank is refused', [...ready, resized(3), requested()], [refuse('room')]],
+	['nothing starts while what runs is over a capacity that shrank', [...ready, requested({resources: cpuOnly(7)}), resized(6), requested({...second, resources: cpuOnly(0)})], [refuse('room', 2)]],
+	['what is being stopped holds capacity that shrank', [...ready, requested({resources: cpuOnly(7)}), started(), cancel, stopped(), resized(8), requested(second)], [refuse('room', 2)]],
+	['an offer made before a capacity shrank lets no start over it', [...ready, want('e1', 7), resized(6), requested({resources: cpuOnly(7)})], [refuse('room')]],
+	['no more is offered than a capacity that shrank', [...ready, requested({resources: cpuOnly(4)}), started(), want('e2', 7), resized(10), resized(8), polled({running: [run()]})], []],
+	['tasks start on a capacity that grew', [...ready, resized(3), resized(12), requested({resources: cpuOnly(12)})], [startOf({resources: cpuOnly(12)})]],
+	['a capacity that grew is offered', [...ready, requested({resources: cpuOnly(7)}), want('e2'), resized(11)], [offer('e2')]],
+	['a newer incarnation that a poll shows gets nothing before its report, as its capacity is not known', [...ready, polled({born: 2}), polled({born: 2}), requested()], [refuse('absent')]],
+	['a late report of the incarnation before does not tell its capacity', [...ready, polled({born: 2}), resized(20), polled({born: 2}), requested()], [refuse('absent')]],
+	['its report opens it', [...ready, polled({born: 2}), {kind: 'reported', worker: worker({born: 2})}, polled({born: 2}), requested()], [startOf()]],
+] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
+	// Guards against a start that brings a worker over the capacity that it has now.
+	test(`guard: ${title}`, t => {
+		const guard = Guard.create();
+		let actions: Action[] = [];
+		for (const event of events) {
+			actions = guard.step(event, 0);
+		}
+
+		t.deepEqual(actions as Array<Record<string, unknown>>, last);
+	});
+}
+
 const draining: Event = {kind: 'reported', worker: worker({draining: true})};
 
 for (const [title, events, expected] of [
@@ -243,6 +272,7 @@
 		| {kind: 'ownerLost'; owner: number}
 		| {kind: 'poll'; lost: boolean}
 		| {kind: 'wait'; ms: number}
+		| {kind: 'resize'; cpu: number}
 		| {kind: 'workerRestart' | 'sidecarRestart' | 'drain' | 'zoneOut' | 'zoneIn'};
 /** What happens to a start order and its answer. */
 type Fate = 'answered' | 'answer lost' | 'late' | 'dropped' | 'connection refused';
@@ -259,6 +289,7 @@
 	{weight: 8, arbitrary: fc.record({kind: fc.constant('wait' as const), ms: fc.integer({min: 1, max: 400})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('want' as const), owner: fc.nat(1), cpu: fc.integer({min: 1, max: 6})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('cancel' as const), back: fc.nat(5)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('resize' as const), cpu: fc.integer({min: 1, max: 12})})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('ownerLost' as const), owner: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('workerRestart', 'sidecarRestart', 'drain', 'zoneOut', 'zoneIn')})},
 );
@@ -336,6 +367,16 @@
 				break;
 			}
 
+			case 'resize': {
+				// An order on its way was weighed against the capacity that the worker had.
+				if (this.delayedOrders.length === 0) {
+					this.worker.capacity = {...this.worker.capacity, cpu: one.cpu};
+					this.report();
+				}
+
+				break;
+			}
+
 			case 'workerRestart': {
 				this.worker.restart();
 				this.draining = false;
@@ -393,7 +434,11 @@
 	}
 
 	private report(): void {
-		this.step({kind: 'reported', worker: worker({incarnation: `w${this.worker.born}`, born: this.worker.born, draining: this.draining})});
+		this.step({
+			kind: 'reported', worker: worker({
+				incarnation: `w${this.worker.born}`, born: this.worker.born, draining: this.draining, capacity: this.worker.capacity,
+			}),
+		});
 	}
 
 	private wait(ms: number): void {
--- a/test/model-worker.ts
+++ b/test/model-worker.ts
@@ -33,7 +33,8 @@
 	private ends: EndedRun[] = [];
 	private sequence = 0;
 
-	private constructor(private readonly capacity: Resources, private readonly leaseMs: number) {}
+	/** `capacity` may change while it runs. */
+	private constructor(public capacity: Resources, private readonly leaseMs: number) {}
 
 	/** The worker's clock in milliseconds, which starts from 0 with each incarnation. */
 	get clock(): number {
--- a/test/reservation.test.ts
+++ b/test/reservation.test.ts
@@ -34,6 +34,11 @@
 		}],
 	},
 });
+const resized = (cpu: number): Event => ({
+	kind: 'reported', worker: {
+		incarnation: 'w', born: 1, pool: 'p', capacity: cpuOnly(cpu), labels: [], draining: false,
+	},
+});
 const short = (action: Action): string => {
 	switch (action.kind) {
 		case 'start': {
@@ -59,6 +64,7 @@
 /** Two runs hold 8 of 10, and end at 100 and 200; `large` reserves 6, which should be free at 100. */
 const reserved: Array<[number, Event]> = [[0, request('t1', 4, 100)], [0, request('t2', 4, 200)], [0, reserve('large', 6)]];
 for (const [title, events, last] of [
+	['a reservation over a capacity that shrank holds nothing back', [...reserved, [0, resized(5)], [0, end('t1', 1)], [0, request('t3', 1, 999)]], ['start t3']],
 	['a task that ends before the reserved start is backfilled', [...reserved, [10, request('t3', 2, 90)]], ['start t3']],
 	['a task that would delay the reserved start is refused', [...reserved, [10, request('t3', 2, 91)]], ['refuse 3 room']],
 	['a task of unknown run time is refused where it could delay the reserved start', [...reserved, [10, request('t3', 2)]], ['refuse 3 room']],
