Guard, driver: a drain or leave ends with its incarnation, also where a poll shows the next one first

Cause: a worker may start again under its name. Where a poll showed that before its report, the guard took over the drain and the leave of the incarnation before, and the report, which is then of the known start, could not end them. The worker stayed closed. The driver kept the time of leaving likewise. Change: a start that a poll shows begins without a drain or leave; it still waits for its report. The driver counts a report as the first of an incarnation by what has been reported, and drops one of an earlier incarnation. Measured: two new guard cases failed before (`draining`, `absent`), and the driver test did not end within 10 s; with the guard's part alone, that test still failed on the time of leaving. All pass now.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -618,8 +618,9 @@
 		if (this.worker && result.born > this.worker.born) {
 			this.handleRestart('born', now, actions);
 			this.hasCrashed = false;
+			this.hasLeft = false;
 			this.isCapacityKnown = false;
-			this.worker = {...this.worker, born: result.born};
+			this.worker = {...this.worker, born: result.born, draining: false};
 		}
 
 		for (const end of result.ended) {
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -94,6 +94,8 @@
 	/** Surplus links, with the time at which their entry was told to send nothing more. */
 	private readonly withdrawnSince = new Map<Link, number>();
 	private readonly linksWithIgnoredFigures = new WeakSet<Link>();
+	/** The start of the newest incarnation of the worker that has reported. A poll may have shown a newer one. */
+	private reportedBorn = Number.NEGATIVE_INFINITY;
 	private fence = 0;
 	private fenceRefusals = 0;
 	/** A reading of the worker's clock, and the local time at which it was made. */
@@ -154,7 +156,12 @@
 	/** Handles the worker's report about itself, made when its clock showed `clock`. */
 	workerReported(worker: Worker, clock: number): void {
 		const before = this.guard.worker;
-		const newer = before === undefined || worker.born > before.born;
+		if (before && worker.born < before.born) {
+			return;
+		}
+
+		const newer = worker.born > this.reportedBorn;
+		this.reportedBorn = worker.born;
 		if (newer) {
 			this.fence = nextFence(this.fence, clock, 0);
 			this.setClockReading(clock);
@@ -163,7 +170,7 @@
 		this.apply({kind: 'reported', worker});
 		const leaveMoved = this.updateLeave(worker, newer);
 		const resized = before !== undefined && !isSameSize(before.capacity, this.guard.worker!.capacity);
-		if (newer || leaveMoved || resized || before.draining !== worker.draining) {
+		if (newer || leaveMoved || resized || before?.draining !== worker.draining) {
 			this.log.info({
 				event: 'worker', life: worker.incarnation, born: worker.born, draining: worker.draining, remainingMs: worker.remainingMs, room: worker.capacity, fence: this.fence,
 			}, newer ? 'worker found' : 'worker changed');
--- a/test/crashes.test.ts
+++ b/test/crashes.test.ts
@@ -8,13 +8,13 @@
 	createJob, room, silentLog, startCluster, submit, waitUntil,
 } from './ephemeral-cluster.js';
 
-/** Returns the crashes and ends of runs that an entry hears of from now on. */
-function listen({schedule}: Dispatcher): Array<Event & {kind: 'crashed' | 'ended'}> {
-	const events: Array<Event & {kind: 'crashed' | 'ended'}> = [];
+/** Returns the events of some kinds that an entry's schedule gets from now on. */
+function listen<Kind extends Event['kind']>({schedule}: Dispatcher, ...kinds: Kind[]): Array<Event & {kind: Kind}> {
+	const events: Array<Event & {kind: Kind}> = [];
 	const step = schedule.step.bind(schedule);
 	schedule.step = (event, now) => {
-		if (event.kind === 'crashed' || event.kind === 'ended') {
-			events.push(event);
+		if ((kinds as string[]).includes(event.kind)) {
+			events.push(event as Event & {kind: Kind});
 		}
 
 		return step(event, now);
@@ -51,7 +51,7 @@
 test('crashes: all entries hear of a crash before the lost runs, and those that link later hear of it too', async t => {
 	const {entries, driverMetrics: [metrics], workers: [worker], executors: [executor]} = await startCluster(t, 2, 1, 300);
 	await waitUntil(() => entries.every(({schedule}) => schedule.placeCounts.open === 1));
-	const heard = entries.map(entry => listen(entry));
+	const heard = entries.map(entry => listen(entry, 'crashed', 'ended'));
 	void submit(entries[0]!, createJob('j'));
 	await waitUntil(() => worker!.tasks.length === 2);
 	worker!.restart();
@@ -73,9 +73,30 @@
 		t.teardown(() => {
 			late.close();
 		});
-		const lateHeard = listen(late);
+		const lateHeard = listen(late, 'crashed');
 		await waitUntil(() => late.schedule.placeCounts.linked === 1);
 		t.is(lateHeard.length, count);
-		t.true(lateHeard.every(event => event.kind === 'crashed' && event.ageMs >= awayMs && event.ageMs < awayMs + 3000));
+		t.true(lateHeard.every(({ageMs}) => ageMs >= awayMs && ageMs < awayMs + 3000));
 	}
 });
+
+// Guards against a worker that stays closed, or is told to leave, because the incarnation of its name before was draining.
+test('crashes: a worker that starts again under its name while it drains is open to work, and does not leave', async t => {
+	const {entries: [entry], drivers: [driver], workers: [worker]} = await startCluster(t, 1, 1, 3000);
+	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+	const report = (born: number, fields: {draining: boolean; remainingMs?: number}): void => {
+		driver!.workerReported({
+			incarnation: 'w-s0', born, pool: 'p', capacity: room, labels: [], ...fields,
+		}, 0);
+	};
+
+	void submit(entry!, createJob('j', 1, 3000));
+	await waitUntil(() => worker!.tasks.length === 1);
+	const told = listen(entry!, 'told');
+	report(1, {draining: true, remainingMs: 60_000});
+	worker!.restart();
+	await waitUntil(() => told.some(({report: {hindrance}}) => hindrance === 'absent'));
+	report(2, {draining: false});
+	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+	t.is(told.at(-1)!.report.remainingMs, undefined);
+});
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -145,6 +145,9 @@
 	});
 }
 
+const draining: Event = {kind: 'reported', worker: worker({draining: true})};
+/** A newer incarnation of the worker's name reports. */
+const rebornReport: Event = {kind: 'reported', worker: worker({born: 2})};
 /** The worker reports another capacity. */
 const resized = (cpu: number): Event => ({kind: 'reported', worker: worker({capacity: {...cpuOnly(cpu), memoryMb: 100}})});
 const startOf = (fields: Partial<RunRequest> = {}): Record<string, unknown> => ({kind: 'start', run: {...run(), task: fields.task ?? 't'}, request: request(fields)});
@@ -160,7 +163,9 @@
 	['a capacity that grew is offered', [...ready, requested({resources: cpuOnly(7)}), want('e2'), resized(11)], [offer('e2')]],
 	['a newer incarnation that a poll shows gets nothing before its report, as its capacity is not known', [...ready, polled({born: 2}), polled({born: 2}), requested()], [refuse('absent')]],
 	['a late report of the incarnation before does not tell its capacity', [...ready, polled({born: 2}), resized(20), polled({born: 2}), requested()], [refuse('absent')]],
-	['its report opens it', [...ready, polled({born: 2}), {kind: 'reported', worker: worker({born: 2})}, polled({born: 2}), requested()], [startOf()]],
+	['a drain ends with its incarnation where a poll shows the next', [...ready, draining, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
+	['that an incarnation left does not close the next of its name', [...ready, {kind: 'left', incarnation: 'w1'}, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
+	['its report opens it', [...ready, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	// Guards against a start that brings a worker over the capacity that it has now.
 	test(`guard: ${title}`, t => {
@@ -174,8 +179,6 @@
 	});
 }
 
-const draining: Event = {kind: 'reported', worker: worker({draining: true})};
-
 for (const [title, events, expected] of [
 	['names a run that a refused connection shows to be gone, once', [...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, restarted, polled({born: 2})], [crashed('connection')]],
 	['names the routes that entries said', [...ready, requested({route: 'r'}), started(), refusedPoll], [crashed('connection', [['t', 'r']])]],
