Load model: crashes reach the entries

Cause: the guard has a new action that the model's switch did not name. Change: the model passes it to the linked entries, and its starts name their routes. The model's workers don't crash yet. Measured: load-play and look-ahead tests pass, npm run lint has no error.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -395,7 +395,7 @@
 		switch (action.kind) {
 			case 'start': {
 				const ask: RunRequest = {
-					owner: String(entry), ref: action.ref, task: action.task.name, resources: action.task.resources, spec: '', sentAt: this.now, expectedMs: action.expectedMs,
+					owner: String(entry), ref: action.ref, task: action.task.name, resources: action.task.resources, spec: '', route: action.job.route, sentAt: this.now, expectedMs: action.expectedMs,
 				};
 				this.at(wayMs, () => {
 					this.guard(Number(action.place), {kind: 'request', request: ask, clock: this.now});
@@ -498,6 +498,16 @@
 				});
 				break;
 			}
+
+			case 'crashed': {
+				for (const entry of this.linked[index]!) {
+					this.reply(index, String(entry), {
+						kind: 'crashed', place: String(index), life: action.life, ageMs: 0, tasks: action.tasks,
+					});
+				}
+
+				break;
+			}
 		}
 	}
 
