--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -244,7 +244,8 @@
 			case 'room':
 			case 'offer':
 			case 'refused':
-			case 'ended': {
+			case 'ended':
+			case 'crashed': {
 				this.handleSidecarMessage(message, link);
 				break;
 			}
@@ -504,6 +505,17 @@
 				});
 				break;
 			}
+
+			case 'crashed': {
+				const {life, ageMs, tasks} = message;
+				this.log.info({
+					event: 'worker-crashed', place, life, ageMs, tasks: tasks.length,
+				}, 'worker of a place has crashed');
+				this.apply({
+					kind: 'crashed', place, life, ageMs, tasks,
+				});
+				break;
+			}
 		}
 	}
 
@@ -661,6 +673,7 @@
 			stamp: sidecar.stamp,
 			age: 0,
 			...(expectedMs !== undefined && sidecar.link.speaks('lookAhead') && {expectedMs}),
+			...(sidecar.link.speaks('crashes') && {route: job.route}),
 		};
 		sidecar.undatedStarts.push(start);
 		sidecar.link.send(start);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -6,6 +6,7 @@
 import {isExpectedTime} from '../decide/look-ahead.js';
 import {nextFence} from '../decide/fence.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
+import {isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, PollResult, Reply, RunId,
@@ -18,7 +19,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
@@ -60,9 +61,16 @@
 const reportedLabels = 2;
 /** How far the time at which the worker leaves may move without a new report to the entries, in milliseconds. */
 const leaveToleranceMs = 50;
+/** How long a crash of the worker is reported to entries that link, in milliseconds. */
+const crashRetentionMs = 60_000;
+/** How many crashes are kept for that. */
+const maxCrashes = 32;
 /** How long a surplus link stays open after its entry was told to send nothing more, in milliseconds: a request may be 600 old. */
 const closeDelayMs = 1000;
 
+/** Crash is what entries are told of a crash of the worker, at a time on the local clock. */
+type Crash = {life: string; at: number; tasks: ReadonlyArray<readonly [name: string, route: string]>};
+
 /**
  * Driver is the sidecar's side of jobs kept in memory. It carries out its guard's decisions at the worker,
  * renews the leases there, and answers the entries.
@@ -86,6 +94,8 @@
 	/** Surplus links, with the time at which their entry was told to send nothing more. */
 	private readonly withdrawnSince = new Map<Link, number>();
 	private readonly linksWithIgnoredFigures = new WeakSet<Link>();
+	/** The start of the newest incarnation of the worker that has reported. A poll may have shown a newer one. */
+	private reportedBorn = Number.NEGATIVE_INFINITY;
 	private fence = 0;
 	private fenceRefusals = 0;
 	/** A reading of the worker's clock, and the local time at which it was made. */
@@ -97,6 +107,8 @@
 	private renewedAt = 0;
 	/** When a draining worker leaves at the earliest, on the local clock, if it has said so. */
 	private leavesAt?: number;
+	/** The latest crashes of the worker, the oldest first. */
+	private crashes: Crash[] = [];
 	private wake = deferred<void>();
 	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
 	private closed = false;
@@ -144,7 +156,12 @@
 	/** Handles the worker's report about itself, made when its clock showed `clock`. */
 	workerReported(worker: Worker, clock: number): void {
 		const before = this.guard.worker;
-		const newer = before === undefined || worker.born > before.born;
+		if (before && worker.born < before.born) {
+			return;
+		}
+
+		const newer = worker.born > this.reportedBorn;
+		this.reportedBorn = worker.born;
 		if (newer) {
 			this.fence = nextFence(this.fence, clock, 0);
 			this.setClockReading(clock);
@@ -152,7 +169,8 @@
 
 		this.apply({kind: 'reported', worker});
 		const leaveMoved = this.updateLeave(worker, newer);
-		if (newer || leaveMoved || before.draining !== worker.draining) {
+		const resized = before !== undefined && !isSameSize(before.capacity, this.guard.worker!.capacity);
+		if (newer || leaveMoved || resized || before?.draining !== worker.draining) {
 			this.log.info({
 				event: 'worker', life: worker.incarnation, born: worker.born, draining: worker.draining, remainingMs: worker.remainingMs, room: worker.capacity, fence: this.fence,
 			}, newer ? 'worker found' : 'worker changed');
@@ -217,6 +235,7 @@
 			case 'offer':
 			case 'refused':
 			case 'ended':
+			case 'crashed':
 			case 'newest':
 			case 'fetch':
 			case 'desired': {
@@ -303,6 +322,11 @@
 		this.owners.get(owner)?.close();
 		this.owners.set(owner, link);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
+		this.dropOldCrashes();
+		for (const crash of this.crashes) {
+			this.reportCrash(crash, link);
+		}
+
 		this.reportPlace(link);
 	}
 
@@ -345,7 +369,7 @@
 	}
 
 	private handleStart({
-		ref, task, room: resources, spec: inlineSpec, specId, stamp, age, expectedMs,
+		ref, task, room: resources, spec: inlineSpec, specId, stamp, age, expectedMs, route,
 	}: MessageToSidecar & {kind: 'start'}, link: Link): void {
 		const spec = specId === undefined ? inlineSpec : this.texts.get(link)?.get(specId);
 		if (spec === undefined) {
@@ -358,7 +382,7 @@
 		}
 
 		const request: RunRequest = {
-			owner: ownerOf(link), ref, task, resources, spec, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
+			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
 		this.apply({kind: 'request', request, clock: this.workerClock()});
 	}
@@ -463,6 +487,42 @@
 				});
 				break;
 			}
+
+			case 'crashed': {
+				this.handleCrash(action);
+				break;
+			}
+		}
+	}
+
+	/** Tells all entries of a crash of the worker, and keeps it for those that link later. One without tasks tells them nothing. */
+	private handleCrash({life, sign, tasks}: Action & {kind: 'crashed'}): void {
+		this.meters.workerCrashes.inc({sign});
+		this.log.warn({
+			event: 'worker-crashed', life, sign, tasks,
+		}, 'worker crashed');
+		if (tasks.length === 0) {
+			return;
+		}
+
+		const crash: Crash = {life, at: this.clock.mono(), tasks: tasks.slice(0, maxCrashedTasks)};
+		this.crashes.push(crash);
+		this.dropOldCrashes();
+		for (const link of this.owners.values()) {
+			this.reportCrash(crash, link);
+		}
+	}
+
+	private dropOldCrashes(): void {
+		const now = this.clock.mono();
+		this.crashes = this.crashes.filter(({at}) => now - at < crashRetentionMs).slice(-maxCrashes);
+	}
+
+	private reportCrash({life, at, tasks}: Crash, link: Link): void {
+		if (link.speaks('crashes')) {
+			link.send({
+				kind: 'crashed', life, ageMs: Math.round(this.clock.mono() - at), tasks,
+			});
 		}
 	}
 
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -37,6 +37,10 @@
 });
 const offer = (owner: string): Record<string, unknown> => ({kind: 'offer', owner});
 const unansweredPoll: Event = {kind: 'polled', result: unknown, sentAt: 0};
+/** Nothing listens at the worker's address. */
+const refusedConnection = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
+const refusedPoll: Event = {kind: 'polled', result: refusedConnection, sentAt: 0};
+const restarted: Event = {kind: 'reported', worker: worker({incarnation: 'w2', born: 2})};
 const refuse = (why: string, ref = 1): Record<string, unknown> => ({
 	kind: 'refuse', owner: 'e1', ref, why,
 });
@@ -46,6 +50,10 @@
 const stop = {kind: 'stop', run: run()};
 const reported: Event = {kind: 'reported', worker: worker()};
 const ready: Event[] = [reported, polled({}, 0)];
+const crashed = (sign: string, tasks: string[][] = [['t', '']], life = 'w1/1'): Record<string, unknown> => ({
+	kind: 'crashed', life, sign, tasks,
+});
+const otherLife: Event = {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0};
 
 for (const [title, events, last] of [
 	['nothing starts before the worker is known', [requested()], [refuse('absent')]],
@@ -97,9 +105,9 @@
 		[reported, polled({running: [run(5)]}), polled({ended: [end({number: 5})]}), requested()],
 		[{kind: 'start', run: run(6), request: request()}],
 	],
-	['runs are lost when their worker restarts', [...ready, requested(), started(), {kind: 'reported', worker: worker({incarnation: 'w2', born: 2})}], [ended('lost', 0)]],
-	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [ended('lost', 0)]],
-	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0}], [ended('lost', 0)]],
+	['runs are lost when their worker restarts', [...ready, requested(), started(), restarted], [crashed('report'), ended('lost', 0)]],
+	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [crashed('born'), ended('lost', 0)]],
+	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), otherLife], [crashed('reply'), ended('lost', 0)]],
 	['all runs are lost when all leases have expired', [...ready, requested(), started(), {kind: 'lapsed'}], [ended('lost', 0)]],
 	['nothing starts at a worker after three unanswered polls', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['free capacity is offered to the owner that requested it', [...ready, want('e2')], [offer('e2')]],
@@ -116,6 +124,19 @@
 	['a lost entry gets no offer', [...ready, requested({resources: cpuOnly(7)}), want('e2'), {kind: 'ownerLost', owner: 'e2'}, polled({ended: [end()]})], [ended('done', 0)]],
 	['capacity reserved for a lost entry is released', [...ready, want('e2', 7), {kind: 'ownerLost', owner: 'e2'}, requested()], [{kind: 'start', run: run(), request: request()}]],
 	['no capacity of a draining worker is offered', [...ready, {kind: 'reported', worker: worker({draining: true})}, want('e2')], []],
+	['a start whose connection was refused was not carried out, and is no lost run', [...ready, requested(), started(refusedConnection)], [refuse('absent')]],
+	['a stopped start whose connection was refused was not carried out', [...ready, requested(), cancel, started(refusedConnection)], [refuse('absent')]],
+	['nothing more starts at a worker that refused the connection of a start', [...ready, requested(), started(refusedConnection), requested({ref: 2})], [refuse('absent', 2)]],
+	['a run that the worker lists is not told as not run', [...ready, requested(), polled({running: [run()]}), started(refusedConnection)], []],
+	['nothing starts at a worker that refused the connection of one poll', [...ready, refusedPoll, {kind: 'lapsed'}, requested()], [refuse('absent')]],
+	['a lost poll after a refused connection does not open the worker', [...ready, refusedPoll, unansweredPoll, requested()], [refuse('absent')]],
+	['tasks start at a worker that answers after a refused connection', [...ready, refusedPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
+	['a newer incarnation after a refused connection is polled for orphan runs first', [...ready, refusedPoll, {kind: 'lapsed'}, restarted, requested()], [refuse('unsettled')]],
+	[
+		'tasks start at a newer incarnation after unanswered polls',
+		[...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, unansweredPoll, unansweredPoll, restarted, polled({born: 2}), requested()],
+		[{kind: 'start', run: run(2), request: request()}],
+	],
 	['tasks start at a worker that answers again', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	test(`guard: ${title}`, t => {
@@ -129,6 +150,68 @@
 	});
 }
 
+const draining: Event = {kind: 'reported', worker: worker({draining: true})};
+/** A newer incarnation of the worker's name reports. */
+const rebornReport: Event = {kind: 'reported', worker: worker({born: 2})};
+/** The worker reports another capacity. */
+const resized = (cpu: number): Event => ({kind: 'reported', worker: worker({capacity: {...cpuOnly(cpu), memoryMb: 100}})});
+const startOf = (fields: Partial<RunRequest> = {}): Record<string, unknown> => ({kind: 'start', run: {...run(), task: fields.task ?? 't'}, request: request(fields)});
+const second = {task: 'u', ref: 2};
+
+for (const [title, events, last] of [
+	['a task over a capacity that shrank is refused', [...ready, resized(3), requested()], [refuse('room')]],
+	['nothing starts while what runs is over a capacity that shrank', [...ready, requested({resources: cpuOnly(7)}), resized(6), requested({...second, resources: cpuOnly(0)})], [refuse('room', 2)]],
+	['what is being stopped holds capacity that shrank', [...ready, requested({resources: cpuOnly(7)}), started(), cancel, stopped(), resized(8), requested(second)], [refuse('room', 2)]],
+	['an offer made before a capacity shrank lets no start over it', [...ready, want('e1', 7), resized(6), requested({resources: cpuOnly(7)})], [refuse('room')]],
+	['no more is offered than a capacity that shrank', [...ready, requested({resources: cpuOnly(4)}), started(), want('e2', 7), resized(10), resized(8), polled({running: [run()]})], []],
+	['tasks start on a capacity that grew', [...ready, resized(3), resized(12), requested({resources: cpuOnly(12)})], [startOf({resources: cpuOnly(12)})]],
+	['a capacity that grew is offered', [...ready, requested({resources: cpuOnly(7)}), want('e2'), resized(11)], [offer('e2')]],
+	['a newer incarnation that a poll shows gets nothing before its report, as its capacity is not known', [...ready, polled({born: 2}), polled({born: 2}), requested()], [refuse('absent')]],
+	['a late report of the incarnation before does not tell its capacity', [...ready, polled({born: 2}), resized(20), polled({born: 2}), requested()], [refuse('absent')]],
+	['a drain ends with its incarnation where a poll shows the next', [...ready, draining, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
+	['that an incarnation left does not close the next of its name', [...ready, {kind: 'left', incarnation: 'w1'}, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
+	['its report opens it', [...ready, polled({born: 2}), rebornReport, polled({born: 2}), requested()], [startOf()]],
+] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
+	// Guards against a start that brings a worker over the capacity that it has now.
+	test(`guard: ${title}`, t => {
+		const guard = Guard.create();
+		let actions: Action[] = [];
+		for (const event of events) {
+			actions = guard.step(event, 0);
+		}
+
+		t.deepEqual(actions as Array<Record<string, unknown>>, last);
+	});
+}
+
+for (const [title, events, expected] of [
+	['names a run that a refused connection shows to be gone, once', [...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, restarted, polled({born: 2})], [crashed('connection')]],
+	['names the routes that entries said', [...ready, requested({route: 'r'}), started(), refusedPoll], [crashed('connection', [['t', 'r']])]],
+	['names a start whose answer is open or was lost', [...ready, requested(), requested({task: 'u', ref: 2}), started(unknown), refusedPoll], [crashed('connection', [['t', ''], ['u', '']])]],
+	['names a run that is being stopped, of a lost entry too', [...ready, requested(), started(), ownerLost, refusedPoll], [crashed('connection')]],
+	['names runs of an earlier sidecar', [reported, polled({running: [run()]}), refusedPoll], [crashed('connection')]],
+	['names no start that was refused, or whose connection was', [...ready, requested(), started(refusedConnection), restarted], [crashed('report', [])]],
+	['names no run that had ended', [...ready, requested(), started(), polled({ended: [end()]}), otherLife], [crashed('reply', [])]],
+	[
+		'is told once of each incarnation',
+		[...ready, requested(), started(), otherLife, restarted, polled({born: 2}), requested(), started(done, 2), polled({born: 3})],
+		[crashed('reply'), crashed('born', [['t', '']], 'w2/2')],
+	],
+	['is told of an incarnation with the name of the one before', [...ready, polled({born: 2}), {kind: 'reported', worker: worker({born: 3})}], [crashed('born', []), crashed('report', [], 'w1/2')]],
+	['is not what ends runs when leases run out in silence', [...ready, requested(), started(), unansweredPoll, {kind: 'lapsed'}], []],
+	['is not a worker that does not listen yet', [reported, refusedPoll, polled()], []],
+	['is not the end of a worker that has left', [...ready, requested(), started(), {kind: 'left', incarnation: 'w1'}, refusedPoll, restarted], []],
+	['is not the end of a draining worker', [...ready, requested(), started(), draining, refusedPoll, {kind: 'lapsed'}, restarted], []],
+	['is not a new incarnation after a drain', [...ready, requested(), started(), draining, polled({born: 2})], []],
+] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
+	// Guards against a task that is held to blame for an end that was planned, and against a crash that is counted twice or not at all.
+	test(`guard: a crash ${title}`, t => {
+		const guard = Guard.create();
+		const actions = events.flatMap(event => guard.step(event, 0));
+		t.deepEqual(actions.filter(({kind}) => kind === 'crashed') as Array<Record<string, unknown>>, expected);
+	});
+}
+
 /** Returns the events of a run that begins and ends as given. */
 const runThatEnds = (number: number, ending: EndedRun['ending']): Event[] => [
 	requested({owner: `e${number}`, ref: number}), started(done, number), polled({ended: [end({sequence: number, number, ending})]}),
@@ -197,11 +280,12 @@
 		| {kind: 'ownerLost'; owner: number}
 		| {kind: 'poll'; lost: boolean}
 		| {kind: 'wait'; ms: number}
+		| {kind: 'resize'; cpu: number}
 		| {kind: 'workerRestart' | 'sidecarRestart' | 'drain' | 'zoneOut' | 'zoneIn'};
 /** What happens to a start order and its answer. */
-type Fate = 'answered' | 'answer lost' | 'late' | 'dropped';
+type Fate = 'answered' | 'answer lost' | 'late' | 'dropped' | 'connection refused';
 
-const fate = fc.oneof({arbitrary: fc.constant<Fate>('answered'), weight: 6}, {arbitrary: fc.constantFrom<Fate>('answer lost', 'late', 'dropped'), weight: 2});
+const fate = fc.oneof({arbitrary: fc.constant<Fate>('answered'), weight: 6}, {arbitrary: fc.constantFrom<Fate>('answer lost', 'late', 'dropped', 'connection refused'), weight: 2});
 const step: fc.Arbitrary<Step> = fc.oneof(
 	{
 		weight: 8,
@@ -213,6 +297,7 @@
 	{weight: 8, arbitrary: fc.record({kind: fc.constant('wait' as const), ms: fc.integer({min: 1, max: 400})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('want' as const), owner: fc.nat(1), cpu: fc.integer({min: 1, max: 6})})},
 	{weight: 3, arbitrary: fc.record({kind: fc.constant('cancel' as const), back: fc.nat(5)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('resize' as const), cpu: fc.integer({min: 1, max: 12})})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('ownerLost' as const), owner: fc.nat(1)})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('workerRestart', 'sidecarRestart', 'drain', 'zoneOut', 'zoneIn')})},
 );
@@ -290,6 +375,16 @@
 				break;
 			}
 
+			case 'resize': {
+				// An order on its way was weighed against the capacity that the worker had.
+				if (this.delayedOrders.length === 0) {
+					this.worker.capacity = {...this.worker.capacity, cpu: one.cpu};
+					this.report();
+				}
+
+				break;
+			}
+
 			case 'workerRestart': {
 				this.worker.restart();
 				this.draining = false;
@@ -347,7 +442,11 @@
 	}
 
 	private report(): void {
-		this.step({kind: 'reported', worker: worker({incarnation: `w${this.worker.born}`, born: this.worker.born, draining: this.draining})});
+		this.step({
+			kind: 'reported', worker: worker({
+				incarnation: `w${this.worker.born}`, born: this.worker.born, draining: this.draining, capacity: this.worker.capacity,
+			}),
+		});
 	}
 
 	private wait(ms: number): void {
@@ -403,6 +502,10 @@
 				break;
 			}
 
+			case 'crashed': {
+				break;
+			}
+
 			case 'refuse':
 			case 'end': {
 				if (this.answered.has(action.ref)) {
@@ -460,6 +563,11 @@
 				this.step({kind: 'started', run: {task, number}, reply: unknown});
 				break;
 			}
+
+			case 'connection refused': {
+				this.step({kind: 'started', run: {task, number}, reply: refusedConnection});
+				break;
+			}
 		}
 	}
 
