Schedule: tasks that crash their workers are given up, their routes quarantined

Cause: a run that ends with its worker is lost, lost runs are started again at once, and nobody counts the crashes under a task. One bad task takes down one worker after the other with all that runs there, and the other routes lose as much as the bad one. Change: the schedule keeps the reported crashes of the last minute (crash-history.ts) and finds the task that alone was in two crashes close together; other crashes about that time, as in a loss of power, put that in doubt. Three crashes give a task up in any case. The suspects of a crash start at different places, by a list that all entries share. A job with such a task ends as failed, also when it is sent again to another entry. The route of a cause is confined to a fifth of the pool's places (quarantine.ts, schedule/isolation.ts), which take no other route. The model of bench/plan.ts plays crashes and losses of power.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -6,7 +6,7 @@
 	Guard, type Action as GuardAction, type RunRequest, type Worker,
 } from '../src/decide/guard.js';
 import {
-	Schedule, type Action, type Event, type Job, type Policy, type Verdict,
+	Schedule, type Action, type CrashNotice, type Event, type Job, type Policy, type Verdict,
 } from '../src/decide/schedule/schedule.js';
 import {rankByRendezvous} from '../src/decide/rendezvous.js';
 import type {Resources} from '../src/decide/resources.js';
@@ -36,6 +36,10 @@
 	leave?: {count: number; from: number; to: number};
 	/** Whether refused callers come back once, when they were told to, with the same job. */
 	returns?: boolean;
+	/** For so many seconds, a share of a route's jobs have a task that crashes each worker that starts it. */
+	crashing?: {route: string; share: number; from: number; to: number};
+	/** The first workers, so many, lose their power within so many milliseconds at this second. */
+	powerLoss?: {count: number; at: number; withinMs: number};
 	/** Traffic of a kind by the second, times the usual. */
 	traffic(second: number, route: string): number;
 	/** The workers that are said to be gone, or slowed by a factor, by the second. */
@@ -60,6 +64,11 @@
 const estimateOff = 0.4;
 const unevenness = 0.15;
 const longFactor = 7;
+/** When a task crashes its worker after its start, at the least and by how much more; when its sidecar notices, and when the worker is back, in milliseconds. */
+const crashAfterMs = 20;
+const crashSpreadMs = 40;
+const crashNoticedMs = 15;
+const crashedMs = 3300;
 /** Processor time of an entry for an event, in milliseconds of a core: a job of 3.6 tasks costs some 1.85 in all. */
 const eventCostMs: Readonly<Partial<Record<Event['kind'], number>>> = {
 	submit: 0.9, ended: 0.15, refused: 0.1, room: 0.05, told: 0.1, tick: 0.05, offered: 0.02,
@@ -193,7 +202,7 @@
 type End = {work: number; served: boolean};
 
 /** Draw is one job with what only the model knows: the times of its tasks in milliseconds, and when each was last started, by its number. */
-type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number; startedAt: number[]; isReturn?: boolean};
+type Draw = {job: Job; kind: Kind; workMs: number[]; objective: number; worth: number; at: number; startedAt: number[]; isReturn?: boolean; crashes?: boolean};
 
 /** EndedJob is a job with the verdict on it and when it came, in milliseconds from the submission. */
 export type EndedJob = Draw & {verdict: Verdict; tookMs: number};
@@ -223,12 +232,23 @@
 	/** Thousandths of a core times milliseconds that were in use. */
 	busy = 0;
 
+	/** Crashes of workers. */
+	crashes = 0;
+	/** By task how many workers have crashed under it, and how often it was started after the third. */
+	readonly crashesByTask = new Map<string, {crashes: number; startsAfterThird: number; isCause: boolean}>();
+	/** What the first entry has found out about crashes, with the time. */
+	readonly notices: Array<CrashNotice & {at: number}> = [];
+
 	private now = 0;
+	private readonly crashed = new Set<number>();
 	private queue: Heap<() => void>;
 	private readonly schedules: Schedule[];
 	private readonly guards: Guard[];
 	private readonly running: Array<Map<string, Running>>;
 	private readonly draws = new Map<string, Draw>();
+	private readonly routes = new Map<string, string>();
+	/** Draws what goes wrong, so that the jobs are the same without it. */
+	private readonly chance = seededRandom(1);
 	/** Until when each entry is busy with earlier events. */
 	private readonly busyUntil: number[];
 	/** When the present incarnation of each worker started. */
@@ -269,6 +289,13 @@
 			});
 		}
 
+		const {count: cut, at: cutAt, withinMs} = this.load.powerLoss ?? {count: 0, at: 0, withinMs: 0};
+		for (let index = 0; index < cut; index++) {
+			this.at((cutAt * 1000) + (this.chance.next() * withinMs), () => {
+				this.crash(index);
+			});
+		}
+
 		for (const kind of this.load.kinds) {
 			this.arrive(kind);
 		}
@@ -313,6 +340,41 @@
 		}
 	}
 
+	/** Crashes a worker, which its sidecar notices a little later. */
+	private crash(index: number): void {
+		if (this.crashed.has(index)) {
+			return;
+		}
+
+		this.crashes++;
+		this.crashed.add(index);
+		const lost = this.running[index]!;
+		for (const {task} of lost.values()) {
+			const [id, number] = task.split('.') as [string, string];
+			const known = this.crashesByTask.get(task) ?? {crashes: 0, startsAfterThird: 0, isCause: this.draws.get(id)?.crashes === true && number === '0'};
+			known.crashes++;
+			this.crashesByTask.set(task, known);
+		}
+
+		const {incarnation} = this.worker(index);
+		const tasks = [...lost.values()].map(({task}): [string, string] => [task, this.routes.get(task.split('.')[0]!)!]);
+		lost.clear();
+		this.at(crashNoticedMs, () => {
+			this.at(wayMs / 2, () => {
+				for (const entry of this.linked[index]!) {
+					this.step(entry, {
+						kind: 'crashed', place: String(index), life: incarnation, ageMs: wayMs / 2, tasks,
+					});
+				}
+			});
+			this.leave(index);
+		});
+		this.at(crashedMs, () => {
+			this.crashed.delete(index);
+			this.return(index);
+		});
+	}
+
 	private at(delay: number, go: () => void): void {
 		this.queue = push(this.queue, this.now + delay, go);
 	}
@@ -357,8 +419,12 @@
 			priority: kind.priority,
 			leftMs: objective * lateFactor,
 		};
+		const {crashing} = this.load;
+		const second = this.now / 1000;
+		const crashes = crashing?.route === kind.route && second >= crashing.from && second < crashing.to && this.chance.next() < crashing.share;
+		this.routes.set(id, kind.route);
 		this.draws.set(id, {
-			job, kind, workMs, objective, worth: kind.worth * Math.min(4, 0.3 + (0.7 * work / usual)), at: this.now, startedAt: [],
+			crashes, job, kind, workMs, objective, worth: kind.worth * Math.min(4, 0.3 + (0.7 * work / usual)), at: this.now, startedAt: [],
 		});
 		this.tallies.get(kind.route)!.asked++;
 		const entry = Math.floor(this.random.next() * this.load.entries);
@@ -423,6 +489,14 @@
 				break;
 			}
 
+			case 'notice': {
+				if (entry === 0) {
+					this.notices.push({...action.notice, at: this.now});
+				}
+
+				break;
+			}
+
 			case 'answer': {
 				const draw = this.draws.get(action.job)!;
 				this.draws.delete(action.job);
@@ -508,7 +582,16 @@
 		const slowed = index === 1 ? this.load.slow(second) : 1;
 		const ms = (draw?.workMs[Number(task)] ?? 1) / this.load.workers[index]!.speed * slowed;
 		const ending = index < (this.load.failing?.(second) ?? 0) ? 'failed' : 'done';
+		if (this.crashed.has(index)) {
+			return;
+		}
+
 		this.starts++;
+		const known = this.crashesByTask.get(run.task);
+		if (known && known.crashes > 2) {
+			known.startsAfterThird++;
+		}
+
 		const held = this.guards[index]!.capacityHeldByOthers('', this.now).cpu;
 		this.mostUsed = Math.max(this.mostUsed, held / this.load.workers[index]!.cpu);
 		if (draw) {
@@ -521,10 +604,22 @@
 		}
 
 		this.at(beginMs, () => {
+			if (this.crashed.has(index)) {
+				return;
+			}
+
 			this.running[index]!.set(run.task, {
 				until: this.now + ms, ref: ask.ref, owner: ask.owner, task: run.task, number: run.number,
 			});
 			this.guard(index, {kind: 'started', run, reply: {kind: 'done'}});
+			if (draw?.crashes && task === '0') {
+				this.at(crashAfterMs + (this.chance.next() * crashSpreadMs), () => {
+					if (this.running[index]!.get(run.task)?.number === run.number) {
+						this.crash(index);
+					}
+				});
+			}
+
 			this.at(ms, () => {
 				if (this.running[index]!.get(run.task)?.number === run.number) {
 					this.running[index]!.delete(run.task);
--- a/src/decide/schedule/admission.ts
+++ b/src/decide/schedule/admission.ts
@@ -2,11 +2,14 @@
 import {fits} from '../resources.js';
 import {Shortage, type Applicant} from '../shortage.js';
 import {hasStarted, waitingWorkOf, type ActiveJob} from './active-job.js';
+import type {Isolation} from './isolation.js';
 import type {Jobs} from './jobs.js';
 import {compareSortKeys, sortKeyOf} from './ordering.js';
-import type {Places} from './places.js';
+import type {Places, PlaceState} from './places.js';
 import {maxRetryMs, minRetryMs, RetryTimes} from './retry-times.js';
-import type {JobRefusal, Policy, Verdict} from './types.js';
+import type {
+	Job, JobRefusal, Policy, Verdict,
+} from './types.js';
 
 /**
  * The warm-up, in milliseconds from the first place found, while places are still being discovered: after a loss of
@@ -14,8 +17,8 @@
  */
 const warmUpMs = 3000;
 
-/** AdmissionInputs is what admission looks at: the policy, the places, learned run times and the jobs under way. */
-export type AdmissionInputs = {policy: Policy; places: Places; estimator: DurationEstimator; jobs: Jobs};
+/** AdmissionInputs is what admission looks at: the policy, the places, learned run times, the jobs under way and the routes in quarantine. */
+export type AdmissionInputs = {policy: Policy; places: Places; estimator: DurationEstimator; jobs: Jobs; isolation: Isolation};
 
 /** Admission decides which jobs are taken, how long they may wait, and what is said to those that are given up. */
 export class Admission {
@@ -57,7 +60,7 @@
 			return undefined;
 		}
 
-		const open = this.inputs.places.openIn(job.pool);
+		const open = this.openFor(job);
 		if (open.length === 0 || !tasks.every(({spec}) => open.some(({room}) => fits(spec.resources, room)))) {
 			return 'no-place';
 		}
@@ -70,7 +73,7 @@
 
 		const applicant = applicantOf(activeJob);
 		const isExpected = shortage.acts && this.retryTimes.isExpected(job.id, now);
-		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job.pool, waitingWorkIn(this.inputs, job.pool)), now) && !isExpected;
+		const isHeldBack = shortage.holdsBack(applicant, this.queueMs(job, waitingWorkIn(this.inputs, job)), now) && !isExpected;
 		const latest = Math.max(refuseAt, activeJob.latestStartAt);
 		const mayWaitLonger = isTooLate && (isExpected || shortage.isBelowFloor(applicant))
 			&& this.expectedMs(activeJob, now) <= latest - now && latest + (longestMs * this.inputs.policy.margin) <= this.stopsAt;
@@ -108,26 +111,25 @@
 
 	/** Estimates the queueing time of a job: the waiting work ordered before it or equal to it, over this entry's share of the processing rate of its pool. */
 	private expectedMs(activeJob: ActiveJob, now: number): number {
-		const {policy, estimator, jobs} = this.inputs;
-		const {pool} = activeJob.job;
+		const {policy, estimator} = this.inputs;
 		const sortKey = sortKeyOf(activeJob, policy, now);
 		let work = 0;
-		for (const other of jobs.waiting(pool)) {
+		for (const other of rivalsOf(this.inputs, activeJob.job)) {
 			if (compareSortKeys(sortKeyOf(other, policy, now), sortKey) <= 0) {
 				work += estimator.expectedMs(other.job.route, waitingWorkOf(other));
 			}
 		}
 
-		return this.queueMs(pool, work);
+		return this.queueMs(activeJob.job, work);
 	}
 
-	/** Returns the time in which this entry's share of the processing rate of a pool does so much work, in milliseconds. */
-	private queueMs(pool: string, work: number): number {
-		const {policy, places, estimator} = this.inputs;
+	/** Returns the time in which this entry's share of the processing rate of the places of a job does so much work, in milliseconds. */
+	private queueMs(job: Job, work: number): number {
+		const {policy, estimator} = this.inputs;
 		let rate = 0;
 		let own = 0;
 		let others = 0;
-		for (const place of places.openIn(pool)) {
+		for (const place of this.openFor(job)) {
 			rate += place.room.cpu / estimator.slowness(place.id);
 			own += place.ownUsage.cpu;
 			others += place.others.cpu;
@@ -137,6 +139,14 @@
 		return rate === 0 ? 0 : work / (rate * share);
 	}
 
+	/** Returns the open places at which the route of a job may start. */
+	private openFor({pool, route}: Job): PlaceState[] {
+		const {places, isolation} = this.inputs;
+		const open = places.openIn(pool);
+		const group = isolation.groupOf(pool, route);
+		return isolation.isIdle ? open : open.filter(place => isolation.groupOfPlace(place) === group);
+	}
+
 	private shortageOf(pool: string): Shortage | undefined {
 		const settings = this.inputs.policy.shortage;
 		let shortage = this.shortages.get(pool);
@@ -153,13 +163,14 @@
 	}
 
 	private retryMs(activeJob: ActiveJob, why: JobRefusal, now: number): number {
-		const {job: {id, route, pool}, refuseAt, arrivedAt} = activeJob;
-		const shortage = this.shortages.get(pool);
+		const {job, refuseAt, arrivedAt} = activeJob;
+		const {id, route} = job;
+		const shortage = this.shortages.get(job.pool);
 		if (why === 'overloaded' && shortage?.acts) {
 			const applicant = applicantOf(activeJob);
 			const excessMs = Math.max(0, this.expectedMs(activeJob, now) - (refuseAt - arrivedAt));
 			return Math.round(this.retryTimes.suggest({
-				id, route, expectedMs: excessMs + shortage.recoveryMs(applicant), workMs: this.queueMs(pool, applicant.work),
+				id, route, expectedMs: excessMs + shortage.recoveryMs(applicant), workMs: this.queueMs(job, applicant.work),
 			}, now));
 		}
 
@@ -171,10 +182,18 @@
 	return {route: job.route, priority: job.priority, work: tasks.reduce((sum, {spec}) => sum + (spec.resources.cpu * spec.estimateMs), 0)};
 }
 
-/** Returns the expected work of all tasks of a pool that wait, in thousandths of a core times milliseconds. */
-function waitingWorkIn({jobs, estimator}: AdmissionInputs, pool: string): number {
+/** Returns the jobs that wait for the same places as a job. */
+function rivalsOf({jobs, isolation}: AdmissionInputs, {pool, route}: Job): Iterable<ActiveJob> {
+	const waiting = jobs.waiting(pool);
+	const group = isolation.groupOf(pool, route);
+	return isolation.isIdle ? waiting : [...waiting].filter(({job}) => isolation.groupOf(pool, job.route) === group);
+}
+
+/** Returns the expected work of all tasks that wait for the places of a job, in thousandths of a core times milliseconds. */
+function waitingWorkIn(inputs: AdmissionInputs, job: Job): number {
+	const {estimator} = inputs;
 	let work = 0;
-	for (const activeJob of jobs.waiting(pool)) {
+	for (const activeJob of rivalsOf(inputs, job)) {
 		work += estimator.expectedMs(activeJob.job.route, waitingWorkOf(activeJob));
 	}
 
--- a/src/decide/schedule/demand.ts
+++ b/src/decide/schedule/demand.ts
@@ -1,5 +1,6 @@
 import {fits, type Resources} from '../resources.js';
 import type {ActiveJob, Task} from './active-job.js';
+import type {Isolation} from './isolation.js';
 import type {Jobs} from './jobs.js';
 import type {Places, PlaceState} from './places.js';
 import type {Reservations} from './reservations.js';
@@ -18,42 +19,43 @@
 /** RackWaiter is a task that waits for room in the rack of its data, with its job. */
 type RackWaiter = {activeJob: ActiveJob; task: Task};
 
-/** Demand summarises by pool the tasks that have found no capacity since all places were last tried, and requests capacity for them. */
+/** Demand summarises the tasks that have found no capacity since all places were last tried, by pool and apart for the quarantined routes of a pool, see `Isolation.groupOf`, and requests capacity for them. */
 export class Demand {
-	static create(places: Places, jobs: Jobs, reservations: Reservations): Demand {
-		return new Demand(places, jobs, reservations);
+	static create(places: Places, jobs: Jobs, reservations: Reservations, isolation: Isolation): Demand {
+		return new Demand(places, jobs, reservations, isolation);
 	}
 
-	private readonly byPool = new Map<string, UnmetDemand>();
-	/** Of each pool, by rack, the most urgent task that waits for room in the rack of its data. */
+	private readonly byGroup = new Map<string, UnmetDemand>();
+	/** Of each group, by rack, the most urgent task that waits for room in the rack of its data. */
 	private readonly rackWaiters = new Map<string, Map<string, RackWaiter>>();
 
 	private constructor(
 		private readonly places: Places,
 		private readonly jobs: Jobs,
 		private readonly reservations: Reservations,
+		private readonly isolation: Isolation,
 	) {}
 
-	get(pool: string): UnmetDemand | undefined {
-		return this.byPool.get(pool);
+	get(group: string): UnmetDemand | undefined {
+		return this.byGroup.get(group);
 	}
 
-	/** Forgets the demand of a pool, or of all, whose tasks are about to be tried again. */
-	clear(pool?: string): void {
-		if (pool === undefined) {
-			this.byPool.clear();
+	/** Forgets the demand of a group, or of all, whose tasks are about to be tried again. */
+	clear(group?: string): void {
+		if (group === undefined) {
+			this.byGroup.clear();
 			this.rackWaiters.clear();
 		} else {
-			this.byPool.delete(pool);
-			this.rackWaiters.delete(pool);
+			this.byGroup.delete(group);
+			this.rackWaiters.delete(group);
 		}
 	}
 
 	/** Records that a task waits for room in the rack of its data. The first one recorded for a rack counts as the most urgent. */
 	addRackWaiter(activeJob: ActiveJob, task: Task): void {
-		const {job: {pool}} = activeJob;
-		const byRack = this.rackWaiters.get(pool) ?? new Map<string, RackWaiter>();
-		this.rackWaiters.set(pool, byRack);
+		const group = this.groupOf(activeJob);
+		const byRack = this.rackWaiters.get(group) ?? new Map<string, RackWaiter>();
+		this.rackWaiters.set(group, byRack);
 		if (!byRack.has(task.spec.dataRack!)) {
 			byRack.set(task.spec.dataRack!, {activeJob, task});
 		}
@@ -61,17 +63,19 @@
 
 	/** Whether a task that waits may start at a place with so much free: one that fitted no place, or one whose data is in the rack of the place. */
 	mayFill(place: PlaceState, free: Resources): boolean {
-		const demand = this.byPool.get(place.pool);
-		const waiter = this.rackWaiters.get(place.pool)?.get(rackOf(place) ?? '');
+		const group = this.isolation.groupOfPlace(place);
+		const demand = this.byGroup.get(group);
+		const waiter = this.rackWaiters.get(group)?.get(rackOf(place) ?? '');
 		return (demand !== undefined && fits(demand.smallest, free)) || (waiter !== undefined && fits(waiter.task.spec.resources, free));
 	}
 
-	/** Records that a task found no capacity. The first one recorded in a pool counts as the most urgent. */
+	/** Records that a task found no capacity. The first one recorded in a group counts as the most urgent. */
 	add(activeJob: ActiveJob, task: Task): void {
 		const {resources} = task.spec;
-		const demand = this.byPool.get(activeJob.job.pool);
+		const group = this.groupOf(activeJob);
+		const demand = this.byGroup.get(group);
 		if (!demand) {
-			this.byPool.set(activeJob.job.pool, {
+			this.byGroup.set(group, {
 				smallest: {...resources}, activeJob, task, failed: [resources], jobs: [activeJob],
 			});
 			return;
@@ -88,34 +92,38 @@
 	}
 
 	/** Whether a task is at least as large as one that has found no capacity, and so finds none either: in a pass any of those tried in it, else the most urgent. */
-	isHopeless(pool: string, resources: Resources, inPass: boolean): boolean {
-		const demand = this.byPool.get(pool);
+	isHopeless(group: string, resources: Resources, inPass: boolean): boolean {
+		const demand = this.byGroup.get(group);
 		return demand !== undefined && (inPass ? demand.failed.some(size => fits(size, resources)) : fits(demand.task.spec.resources, resources));
 	}
 
-	/** Requests capacity for the most urgent unplaced task of each pool. */
+	/** Requests capacity for the most urgent unplaced task of each group. */
 	requestAll(now: number, actions: Action[]): void {
-		for (const pool of new Set([...this.byPool.keys(), ...this.rackWaiters.keys()])) {
-			this.request(pool, now, actions);
+		for (const group of new Set([...this.byGroup.keys(), ...this.rackWaiters.keys()])) {
+			this.request(group, now, actions);
 		}
 	}
 
-	/** Sends capacity requests for the most urgent unplaced task of a pool to its places, and for the most urgent that waits for each rack to the places there. */
-	request(pool: string, now: number, actions: Action[]): void {
-		const demand = this.byPool.get(pool);
+	/** Sends capacity requests for the most urgent unplaced task of a group to its places, and for the most urgent that waits for each rack to the places there. */
+	request(group: string, now: number, actions: Action[]): void {
+		const demand = this.byGroup.get(group);
 		if (demand) {
 			if (this.isWaiting(demand)) {
-				this.reservations.request(pool, demand.jobs, now, actions);
+				this.reservations.request(demand.activeJob.job.pool, demand.jobs, now, actions);
 			}
 
 			this.requestFor(demand, now, actions);
 		}
 
-		for (const [rack, waiter] of this.rackWaiters.get(pool) ?? []) {
+		for (const [rack, waiter] of this.rackWaiters.get(group) ?? []) {
 			this.requestFor({...waiter, rack}, now, actions);
 		}
 	}
 
+	private groupOf({job: {pool, route}}: ActiveJob): string {
+		return this.isolation.groupOf(pool, route);
+	}
+
 	private isWaiting({activeJob, task}: RackWaiter): boolean {
 		return task.state === 'waiting' && this.jobs.get(activeJob.job.id) !== undefined;
 	}
@@ -133,6 +141,10 @@
 				continue;
 			}
 
+			if (!this.isolation.allows(activeJob, task, place, now)) {
+				continue;
+			}
+
 			if (++asked > maxRequestedPlaces) {
 				return;
 			}
--- a/src/decide/schedule/orders.ts
+++ b/src/decide/schedule/orders.ts
@@ -27,8 +27,8 @@
 		return [...this.byRef].filter(([, order]) => order.place === place);
 	}
 
-	/** Records an order for a task, reserves its resources and returns the start. */
-	send(activeJob: ActiveJob, task: Task, place: PlaceState, now: number): StartAction {
+	/** Records an order for a task, reserves these resources for it and returns the start. */
+	send({activeJob, task, resources}: Omit<OutstandingOrder, 'place'>, place: PlaceState, now: number): StartAction {
 		const ref = this.nextRef++;
 		this.jobs.setState(activeJob, task, 'placed');
 		task.ref = ref;
@@ -36,13 +36,13 @@
 		task.placedAt = now;
 		task.stopSent = false;
 		this.byRef.set(ref, {
-			activeJob, task, place: place.id, resources: task.spec.resources,
+			activeJob, task, place: place.id, resources,
 		});
-		addResources(place.ownUsage, task.spec.resources, 1);
+		addResources(place.ownUsage, resources, 1);
 		place.outstandingOrders++;
 		this.places.recordOrder(place, now);
 		return {
-			kind: 'start', place: place.id, ref, job: activeJob.job, task: task.spec,
+			kind: 'start', place: place.id, ref, job: activeJob.job, task: resources === task.spec.resources ? task.spec : {...task.spec, resources},
 		};
 	}
 
--- a/src/decide/schedule/placement.ts
+++ b/src/decide/schedule/placement.ts
@@ -3,6 +3,7 @@
 import {
 	hasStarted, isWaitingForRack, worthUntil, type ActiveJob, type Task,
 } from './active-job.js';
+import type {Isolation} from './isolation.js';
 import {freeCapacity, type Places, type PlaceState} from './places.js';
 import type {Reservations} from './reservations.js';
 import type {Policy} from './types.js';
@@ -26,8 +27,8 @@
 /** More than any worker has, in thousandths of a core: it brings what is left free to the scale of free shares. */
 const maxCpu = 1_000_000;
 
-/** PlacementInputs is what placement looks at: the policy, the places, learned run times, what is known of workers and what is reserved. */
-export type PlacementInputs = {policy: Policy; places: Places; estimator: DurationEstimator; workers: WorkerKnowledge; reservations: Reservations};
+/** PlacementInputs is what placement looks at: the policy, the places, learned run times, what is known of workers, what is reserved and what is kept apart. */
+export type PlacementInputs = {policy: Policy; places: Places; estimator: DurationEstimator; workers: WorkerKnowledge; reservations: Reservations; isolation: Isolation};
 
 /** Placement chooses the place of a task. */
 export class Placement {
@@ -45,7 +46,8 @@
 	 * at none, it takes the fastest. Off the rack of its data a task uses a place for longer, so it goes there only if
 	 * there is no such place on that rack.
 	 */
-	choose({job, objectiveAt, tasks}: ActiveJob, task: Task, now: number, only?: PlaceState): PlaceState | undefined {
+	choose(activeJob: ActiveJob, task: Task, now: number, only?: PlaceState): PlaceState | undefined {
+		const {job, objectiveAt, tasks} = activeJob;
 		const {
 			policy, places, estimator, workers, reservations,
 		} = this.inputs;
@@ -53,11 +55,7 @@
 		const shared = new Set(policy.colocate ? tasks.filter(({state}) => state === 'placed' || state === 'done').map(({place}) => place) : []);
 		let best: {place: PlaceState; late: number; cost: number} | undefined;
 		for (const place of only ? [only] : places.all()) {
-			if (place.pool !== job.pool || !places.mayReceive(place, now)) {
-				continue;
-			}
-
-			if (!fits(task.spec.resources, freeCapacity(place))) {
+			if (place.pool !== job.pool || !places.mayReceive(place, now) || !this.isRoomFor(activeJob, task, place, now)) {
 				continue;
 			}
 
@@ -101,6 +99,12 @@
 		return isWaitingForRack(task, now);
 	}
 
+	/** Whether a place has the free capacity for a task, and the task may run beside what is there. */
+	private isRoomFor(activeJob: ActiveJob, task: Task, place: PlaceState, now: number): boolean {
+		const {isolation} = this.inputs;
+		return isolation.allows(activeJob, task, place, now) && fits(isolation.sizeAt(task.spec, place, now), freeCapacity(place));
+	}
+
 	/** Returns how well a task fits a place: by the largest free share, or with `bestFit`, where it should end in time, by the least that is left. */
 	private fit({spec: {resources}}: Task, place: PlaceState, late: number): number {
 		const free = freeCapacity(place);
--- a/src/decide/schedule/reservations.ts
+++ b/src/decide/schedule/reservations.ts
@@ -5,6 +5,7 @@
 import {reservationMs} from '../reservation.js';
 import {fits} from '../resources.js';
 import {isWaitingForRack, type ActiveJob, type Task} from './active-job.js';
+import type {Isolation} from './isolation.js';
 import type {Jobs} from './jobs.js';
 import {freeCapacity, type Places, type PlaceState} from './places.js';
 import type {Action, Policy, TaskSpec} from './types.js';
@@ -13,7 +14,7 @@
 /** OwnReservation is a reservation that this entry has asked for at a place. */
 type OwnReservation = Hold & {activeJob: ActiveJob; task: Task};
 
-export type ReservationsDependencies = {policy: Policy; places: Places; jobs: Jobs; workers: WorkerKnowledge};
+export type ReservationsDependencies = {policy: Policy; places: Places; jobs: Jobs; workers: WorkerKnowledge; isolation: Isolation};
 
 /** Reservations decides for which waiting task of a pool a reservation is asked for, and where, and keeps other tasks from what is reserved. */
 export class Reservations {
@@ -27,12 +28,14 @@
 	private readonly places: Places;
 	private readonly jobs: Jobs;
 	private readonly workers: WorkerKnowledge;
+	private readonly isolation: Isolation;
 
-	private constructor({policy, places, jobs, workers}: ReservationsDependencies) {
+	private constructor({policy, places, jobs, workers, isolation}: ReservationsDependencies) {
 		this.policy = policy;
 		this.places = places;
 		this.jobs = jobs;
 		this.workers = workers;
+		this.isolation = isolation;
 	}
 
 	/** Whether placement looks ahead in a pool. */
@@ -121,7 +124,7 @@
 		const options: ReservationOption[] = [];
 		for (const place of this.places.all()) {
 			const isReservable = place.pool === pool && this.places.mayReceive(place, now) && fits(resources, place.room)
-				&& !this.byPlace.has(place.id) && !reportedHold(place.outlook, now);
+				&& this.isolation.allows(activeJob, task, place, now) && !this.byPlace.has(place.id) && !reportedHold(place.outlook, now);
 			const startInMs = isReservable ? expectedFreeMs(freeCapacity(place).cpu, resources.cpu, place.outlook, now) : undefined;
 			if (startInMs !== undefined) {
 				options.push({place: place.id, startInMs, runMs: this.workers.runMs({route, task: task.spec, place})});
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -6,6 +6,7 @@
 } from './active-job.js';
 import {Admission} from './admission.js';
 import {Demand} from './demand.js';
+import {Isolation} from './isolation.js';
 import {Jobs} from './jobs.js';
 import {LostRuns, maxRunAfterLinkLossMs} from './lost-runs.js';
 import {Orders, type OutstandingOrder} from './orders.js';
@@ -14,7 +15,7 @@
 import {freeCapacity, Places, type PlaceState} from './places.js';
 import {Reservations} from './reservations.js';
 import {
-	usualPolicy, type Action, type Event, type Job, type Policy, type Verdict,
+	usualPolicy, type Action, type CrashNotice, type Event, type Job, type Policy, type Verdict,
 } from './types.js';
 import {WorkerKnowledge} from './worker-knowledge.js';
 
@@ -40,6 +41,7 @@
  *   These tasks have been tried at all places, so when one place changes, `fillPlace` tries only that one.
  * - Workers (`worker-knowledge.ts`): by their kinds, racks and notice of leaving it tells how long a run takes and when it hangs.
  * - Reservations (`reservations.ts`): where tasks differ in size, a place is asked to keep capacity for a large one.
+ * - Isolation (`isolation.ts`): tasks under which workers crash are given up, and their routes are confined to a few places.
  * - Single runs (`lost-runs.ts`): a task is not started while a run of it may be under way. A lost link makes its
  *   tasks `unknown` until the place confirms their end or `maxRunAfterLinkLossMs` has passed. Tasks that may outlive
  *   their job are remembered, so that a job submitted again does not start them twice.
@@ -59,6 +61,7 @@
 	private readonly places = Places.create();
 	private readonly orders = Orders.create(this.places, this.jobs);
 	private readonly lostRuns = LostRuns.create();
+	private readonly isolation: Isolation;
 	private readonly reservations: Reservations;
 	private readonly demand: Demand;
 	private readonly admission: Admission;
@@ -69,16 +72,18 @@
 
 	private constructor(private readonly policy: Policy) {
 		const {places, estimator, jobs} = this;
+		const isolation = Isolation.create({policy, places});
+		this.isolation = isolation;
 		this.admission = Admission.create({
-			policy, places, estimator, jobs,
+			policy, places, estimator, jobs, isolation,
 		});
 		this.workers = WorkerKnowledge.create(policy, places, estimator);
 		this.reservations = Reservations.create({
-			policy, places, jobs, workers: this.workers,
+			policy, places, jobs, workers: this.workers, isolation,
 		});
-		this.demand = Demand.create(places, jobs, this.reservations);
+		this.demand = Demand.create(places, jobs, this.reservations, isolation);
 		this.placement = Placement.create({
-			policy, places, estimator, workers: this.workers, reservations: this.reservations,
+			policy, places, estimator, workers: this.workers, reservations: this.reservations, isolation,
 		});
 	}
 
@@ -198,6 +203,7 @@
 			}
 
 			case 'crashed': {
+				this.handleCrash(event, now, actions);
 				break;
 			}
 
@@ -232,6 +238,28 @@
 		}
 	}
 
+	/** Acts on what a crash shows. Its tasks are placed again by the `ended` events that follow. */
+	private handleCrash(event: Event & {kind: 'crashed'}, now: number, actions: Action[]): void {
+		const notices = this.isolation.crashed(event, now);
+		if (notices) {
+			this.isolate(notices, now, actions);
+		}
+	}
+
+	/** Reports what was found out about crashes, and gives up the jobs whose tasks crash workers. */
+	private isolate(notices: readonly CrashNotice[], now: number, actions: Action[]): void {
+		actions.push(...notices.map((notice): Action => ({kind: 'notice', notice})));
+		for (const activeJob of this.jobs.all()) {
+			if (this.isolation.isGivenUp(activeJob, now)) {
+				this.finish(activeJob, {kind: 'failed'}, now, actions);
+			}
+		}
+
+		if (notices.some(({kind}) => kind === 'quarantine')) {
+			this.placeAll(now, actions);
+		}
+	}
+
 	private submit(job: Job, now: number, actions: Action[]): void {
 		const tasks = job.tasks.map((spec): Task => ({
 			spec, state: 'waiting', ref: 0, place: '', placedAt: 0, notBefore: 0, failures: 0, lastFailedPlace: '', stopSent: false,
@@ -253,6 +281,13 @@
 			mayHaveRunEarlier: this.lostRuns.mayHaveRunBefore(job.id, now),
 			mayHaveRun: tasks.some(({spec}) => this.lostRuns.mayStillRun(spec.name, now)),
 		};
+		if (this.isolation.isGivenUp(activeJob, now)) {
+			actions.push({
+				kind: 'answer', job: job.id, verdict: {kind: 'failed'}, waitedMs: 0,
+			});
+			return;
+		}
+
 		const why = this.admission.refusalReason(activeJob, now);
 		if (why) {
 			actions.push({
@@ -342,6 +377,7 @@
 
 		if (place && outcome === 'done') {
 			this.workers.runDone({route: activeJob.job.route, task: task.spec, place}, ranMs);
+			this.isolation.succeeded(activeJob.job.route);
 		}
 
 		if (task.ref !== ref || task.state !== 'placed' || !this.jobs.has(activeJob)) {
@@ -383,6 +419,10 @@
 
 	private tick(now: number, actions: Action[]): void {
 		this.lostRuns.expire(now);
+		if (!this.isolation.isIdle) {
+			this.isolate(this.isolation.review(now), now, actions);
+		}
+
 		for (const activeJob of this.jobs.all()) {
 			if (now >= activeJob.deadline) {
 				this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, 'overloaded', now), now, actions);
@@ -470,7 +510,7 @@
 		const task = this.placeTasks(activeJob, now, actions, {inPass: false});
 		if (task) {
 			this.demand.add(activeJob, task);
-			this.demand.request(activeJob.job.pool, now, actions);
+			this.demand.request(this.isolation.groupOf(activeJob.job.pool, activeJob.job.route), now, actions);
 		}
 	}
 
@@ -482,8 +522,10 @@
 		}
 
 		if (this.demand.mayFill(place, freeCapacity(place))) {
-			this.demand.clear(place.pool);
-			for (const activeJob of inOrder(this.jobs.waiting(place.pool), this.policy, now)) {
+			const group = this.isolation.groupOfPlace(place);
+			this.demand.clear(group);
+			const waiting = this.isolation.isIdle ? this.jobs.waiting(place.pool) : [...this.jobs.waiting(place.pool)].filter(({job}) => this.isolation.groupOf(job.pool, job.route) === group);
+			for (const activeJob of inOrder(waiting, this.policy, now)) {
 				const task = this.placeTasks(activeJob, now, actions, {inPass: true, only: place});
 				if (task) {
 					this.demand.add(activeJob, task);
@@ -491,7 +533,7 @@
 			}
 		}
 
-		this.demand.request(place.pool, now, actions);
+		this.demand.request(this.isolation.groupOfPlace(place), now, actions);
 	}
 
 	/**
@@ -500,7 +542,7 @@
 	 */
 	private placeTasks(activeJob: ActiveJob, now: number, actions: Action[], {inPass, only}: {inPass: boolean; only?: PlaceState}): Task | undefined {
 		for (const task of activeJob.tasks) {
-			if (task.state === 'waiting' && now >= task.notBefore && !this.lostRuns.mayStillRun(task.spec.name, now)) {
+			if (task.state === 'waiting' && now >= task.notBefore && !this.lostRuns.mayStillRun(task.spec.name, now) && !this.isolation.isHeld(task, now)) {
 				const place = this.isHopeless(activeJob, task, inPass) ? undefined : this.placement.choose(activeJob, task, now, only);
 				if (place ? this.placement.waitsForRack(activeJob, task, place, now) : isWaitingForRack(task, now)) {
 					this.demand.addRackWaiter(activeJob, task);
@@ -508,10 +550,16 @@
 				}
 
 				if (!place) {
+					if (this.isolation.isRestricted(task)) {
+						// It has fewer places than others, so that it says nothing of what they find.
+						continue;
+					}
+
 					return task;
 				}
 
-				const start = this.orders.send(activeJob, task, place, now);
+				const start = this.orders.send({activeJob, task, resources: this.isolation.sizeAt(task.spec, place, now)}, place, now);
+				this.isolation.sent(task, place.id, now);
 				const run = {route: activeJob.job.route, task: task.spec, place};
 				actions.push(this.reservations.isActive(place.pool) ? {...start, expectedMs: Math.round(this.workers.runMs(run))} : start);
 			}
@@ -524,13 +572,18 @@
 	 * Whether a task finds no capacity because of one that has just found none. Where placement looks ahead, only the
 	 * most urgent of those counts: a reservation may have kept a smaller one from a place that is open to this one.
 	 */
-	private isHopeless({job: {pool}}: ActiveJob, {spec}: Task, inPass: boolean): boolean {
-		const isBehindAnother = this.policy.arrivalOrder && this.demand.get(pool) !== undefined;
-		return isBehindAnother || this.demand.isHopeless(pool, spec.resources, inPass && !this.reservations.isActive(pool));
+	private isHopeless({job: {pool, route}}: ActiveJob, {spec}: Task, inPass: boolean): boolean {
+		const group = this.isolation.groupOf(pool, route);
+		const isBehindAnother = this.policy.arrivalOrder && this.demand.get(group) !== undefined;
+		return isBehindAnother || this.demand.isHopeless(group, spec.resources, inPass && !this.reservations.isActive(pool));
 	}
 
 	/** Forgets a lingering task when its order has ended, so that a job submitted again may start it. */
 	private taskEnded(order: OutstandingOrder | undefined, ref: number, now: number, actions: Action[]): void {
+		if (order) {
+			this.isolation.ended(order.task.spec.name);
+		}
+
 		if (order && this.lostRuns.taskEnded(order.task.spec.name, ref)) {
 			this.placeAll(now, actions);
 		}
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -1,4 +1,5 @@
 import type {Departure} from '../departure.js';
+import type {QuarantineEnd} from '../quarantine.js';
 import type {StartRefusal, Outcome} from '../guard.js';
 import type {Release} from '../reservation.js';
 import type {Resources} from '../resources.js';
@@ -24,7 +25,7 @@
 	leftMs: number;
 };
 
-/** TaskSpec is one task: its full name, the resources it needs, its declared run time and the rack that holds its data, if it names one. */
+/** TaskSpec is one task: its full name, which is the id of its job with a dot and more, the resources it needs, its declared run time and the rack that holds its data, if it names one. */
 export type TaskSpec = {name: string; resources: Resources; estimateMs: number; dataRack?: string};
 
 /** PlaceReport is what a sidecar reports of its worker: `room` is the worker's whole capacity, `others` the part of it in use for other entries. */
@@ -45,7 +46,7 @@
 /** Verdict is how a job ends. */
 export type Verdict
 	= | {kind: 'completed'}
-	/** A task has failed as often as `Job.attempts` allows. */
+	/** A task has failed as often as `Job.attempts` allows, or workers have crashed under it. */
 		| {kind: 'failed'}
 	/** None of its tasks ran or will run, so the caller may safely submit it again. */
 		| {kind: 'refused'; why: JobRefusal; retryMs: number; inputs: RefusalInputs}
@@ -92,6 +93,13 @@
 /** StartAction orders a sidecar to start a task; `ref` identifies the order. `expectedMs`: the run time expected there, where placement looks ahead. */
 export type StartAction = {kind: 'start'; place: string; ref: number; job: Job; task: TaskSpec; expectedMs?: number};
 
+/** CrashNotice tells of a decision that crashes have led to, with its inputs, for the log. */
+export type CrashNotice
+	/** A task was found to crash workers: `tasks` were there at each of two crashes, at `places`. */
+	= | {kind: 'cause'; task: string; route: string; crashes: number; tasks: readonly [number, number]; places: readonly [string, string]}
+	/** The quarantine of a route has begun, or has ended where `end` says why. */
+		| {kind: 'quarantine'; route: string; pool: string; end?: QuarantineEnd; places: readonly string[]; repeats: number; successes: number; sinceCrashMs: number; lastedMs: number};
+
 /** Action is an output of the schedule, for the caller to carry out. */
 export type Action
 	= | StartAction
@@ -99,7 +107,8 @@
 		| {kind: 'stop'; place: string; ref: number; hung: boolean; departure?: Departure}
 	/** A capacity request: a task of this size is waiting and should start within `dueMs`; the place offers capacity once it is free. `reserve`: a reservation is asked for too. */
 		| {kind: 'want'; place: string; resources: Resources; dueMs: number; reserve?: boolean}
-		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number};
+		| {kind: 'answer'; job: string; verdict: Verdict; waitedMs: number}
+		| {kind: 'notice'; notice: CrashNotice};
 
 /** Policy holds the parameters that benchmarks may vary; production runs `usualPolicy`. */
 export type Policy = {
@@ -140,6 +149,8 @@
 	bestFit: boolean;
 	/** Whether jobs go strictly in order of arrival: no task is placed before one that waits in front of it. */
 	arrivalOrder: boolean;
+	/** Whether tasks under which workers crash are given up and their routes quarantined. */
+	isolation: boolean;
 };
 
 /** The policy of production. */
@@ -159,4 +170,5 @@
 	reservations: 1,
 	bestFit: false,
 	arrivalOrder: false,
+	isolation: true,
 };
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
-	Schedule, type Action, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
+	Schedule, type Action, type CrashNotice, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
 import type {Departure} from '../decide/departure.js';
 import {areReleases} from '../decide/look-ahead.js';
@@ -617,6 +617,31 @@
 
 				break;
 			}
+
+			case 'notice': {
+				this.report(action.notice);
+				break;
+			}
+		}
+	}
+
+	/** Logs and counts what was found out about crashes of workers. */
+	private report(notice: CrashNotice): void {
+		const {kind, ...inputs} = notice;
+		switch (notice.kind) {
+			case 'cause': {
+				this.meters.crashCauses.inc({route: notice.route});
+				this.log.warn({event: 'crash-cause', ...inputs}, 'task crashes its workers, giving it up');
+				break;
+			}
+
+			case 'quarantine': {
+				this.meters.quarantines.inc({route: notice.route, change: notice.end ?? 'begun'});
+				this.log.warn({
+					event: 'quarantine', ...inputs, sinceCrashMs: Math.round(notice.sinceCrashMs), lastedMs: Math.round(notice.lastedMs),
+				}, notice.end ? 'quarantine of a route has ended' : 'quarantine of a route has begun');
+				break;
+			}
 		}
 	}
 
@@ -733,6 +758,7 @@
 		lookAhead: looksAhead(policy) ? 'on' : 'off',
 		farFactor: Math.max(1, farFactor),
 		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
+		isolation: policy.isolation.enabled !== 'off',
 		...(policy.links.enabled !== 'off' && {colocate: true, zone}),
 		...(enabled !== 'off' && {urgentFirst: true, shortage: {...parameters, always: enabled === 'on'}}),
 	};
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -49,6 +49,8 @@
 	readonly refusedOrders = counter(this.registry, 'orders_refused_total', 'Starts that sidecars refused, by reason.', ['why']);
 	readonly movedRuns = counter(this.registry, 'runs_moved_total', 'Runs stopped to be started elsewhere because their worker leaves.', []);
 	readonly endedRuns = counter(this.registry, 'runs_ended_total', 'Runs by how they ended.', ['outcome']);
+	readonly crashCauses = counter(this.registry, 'crash_causes_total', 'Tasks that were found to crash their workers, by route.', ['route']);
+	readonly quarantines = counter(this.registry, 'quarantines_total', 'Quarantines of routes that began or ended, by route and what changed.', ['route', 'change']);
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
--- a/src/settings/policy.ts
+++ b/src/settings/policy.ts
@@ -31,10 +31,12 @@
 const workers = z.strictObject({enabled}).prefault({});
 /** Placement by what waits and what ends soon. */
 const lookAhead = z.strictObject({enabled}).prefault({});
+/** What is done about tasks under which workers crash. */
+const isolation = z.strictObject({enabled}).prefault({});
 
 /** The settings of the scheduling policy. A key that is not known is an error. */
 export const policySettings = z.strictObject({
-	links, overload, shortage, workers, lookAhead,
+	links, overload, shortage, workers, lookAhead, isolation,
 });
 
 /** Settings of the scheduling policy, complete. */
--- a/test/look-ahead.test.ts
+++ b/test/look-ahead.test.ts
@@ -97,7 +97,8 @@
 		}
 
 		case 'stop':
-		case 'answer': {
+		case 'answer':
+		case 'notice': {
 			return action.kind;
 		}
 	}
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -57,6 +57,11 @@
 		case 'answer': {
 			return `answer ${action.job} ${action.verdict.kind}${action.verdict.kind === 'refused' ? ` ${action.verdict.why}` : ''}`;
 		}
+
+		case 'notice': {
+			const {notice} = action;
+			return notice.kind === 'cause' ? `cause ${notice.task}` : `quarantine ${notice.route} ${notice.end ?? 'begun'}`;
+		}
 	}
 };
 
@@ -453,7 +458,8 @@
 				break;
 			}
 
-			case 'stop': {
+			case 'stop':
+			case 'notice': {
 				break;
 			}
 
--- a/test/worker-knowledge.test.ts
+++ b/test/worker-knowledge.test.ts
@@ -36,6 +36,10 @@
 		case 'answer': {
 			return `answer ${action.job} ${action.verdict.kind}`;
 		}
+
+		case 'notice': {
+			return action.kind;
+		}
 	}
 }
 
