--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -72,7 +72,7 @@
 	/** The capacity that the owner requested is free and reserved for it for `offerHoldMs`. */
 		| {kind: 'offer'; owner: string}
 		| {kind: 'end'; owner: string; ref: number; outcome: Outcome; ranMs: number}
-	/** The incarnation `life` of the worker crashed and ran these tasks, or may have. It comes once, before the ends of their runs. `route` is empty where it is not known. */
+	/** The incarnation `life` of the worker crashed and ran these tasks, or may have, those started last at the end. It comes once, before the ends of their runs. `route` is empty where it is not known. */
 		| {kind: 'crashed'; life: string; sign: CrashSign; tasks: ReadonlyArray<readonly [name: string, route: string]>};
 
 /** The maximum age of a request on arrival, in worker-clock milliseconds; less than the silence after which its entry closes the link. */
@@ -503,8 +503,8 @@
 	private recordCrash(sign: CrashSign, actions: Action[]): void {
 		const {worker} = this;
 		const tasks = [
-			...[...this.runs.values()].map(({request: {task, route = ''}}) => [task, route] as const),
 			...[...this.orphanRuns.keys()].filter(task => !this.runs.has(task)).map(task => [task, ''] as const),
+			...[...this.runs.values()].map(({request: {task, route = ''}}) => [task, route] as const),
 		];
 		// A worker that has just started may not listen yet.
 		const mayBeStarting = sign === 'connection' && tasks.length === 0;
