Worker clock: a reply that is handled late does not make requests look younger

A sidecar that had stood still handled the reply to a poll that was 900 ms old and set the worker's clock back by as much.

The age of a request is now judged by the highest reading of the last second, as a request can only be older than it seems; leases still go by the newest reading.

--- /dev/null
+++ b/src/decide/worker-clock.ts
@@ -0,0 +1,54 @@
+/** The largest factor by which a worker's clock may be slower than this process's. */
+export const clockSlack = 1.02;
+
+/** How long a high reading counts, in milliseconds: an order that is older than a lease is void at the worker, however it is dated. */
+const highReadingMs = 1000;
+
+/** Reading is what a worker's clock showed at the latest at the local time `at`; both in milliseconds. */
+type Reading = {clock: number; at: number};
+
+/**
+ * WorkerClock estimates the clock of a worker from the readings in its replies. A reply may be handled long after it was made, if this
+ * process stood still meanwhile, so that its reading is too low by as much.
+ */
+export class WorkerClock {
+	static create(): WorkerClock {
+		return new WorkerClock();
+	}
+
+	private newest: Reading = {clock: 0, at: 0};
+	private highest: Reading = {clock: 0, at: 0};
+
+	private constructor() {
+		// Created by `create`.
+	}
+
+	/** The worker has started again, and its clock with it. */
+	restart(clock: number, now: number): void {
+		this.newest = {clock, at: now};
+		this.highest = this.newest;
+	}
+
+	/** Takes in a reading. */
+	read(clock: number, now: number): void {
+		this.newest = {clock, at: now};
+		if (clock >= this.leastAt(now)) {
+			this.highest = this.newest;
+		}
+	}
+
+	/** The clock by the newest reading, even if that went back: the worker's clock may be slow, and a lease that expires too early is the safe error. */
+	valueAt(now: number): number {
+		return this.newest.clock + (now - this.newest.at);
+	}
+
+	/** The highest value that is certain by the readings of the last second; the age of a request is judged by it, as one that seems too young is the unsafe error. */
+	latestAt(now: number): number {
+		return Math.max(this.valueAt(now), this.leastAt(now));
+	}
+
+	private leastAt(now: number): number {
+		const passedMs = now - this.highest.at;
+		return passedMs > highReadingMs ? Number.NEGATIVE_INFINITY : this.highest.clock + (passedMs / clockSlack);
+	}
+}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -5,6 +5,7 @@
 import {subsetSize} from '../decide/announce.js';
 import {isExpectedTime} from '../decide/look-ahead.js';
 import {nextFence} from '../decide/fence.js';
+import {clockSlack, WorkerClock} from '../decide/worker-clock.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
 import {isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
@@ -48,8 +49,7 @@
 /** The time for a poll's transport, in milliseconds. It doubles with each consecutive lost poll, since the machine may be slow. */
 const marginMs = 60;
 const maxMarginMs = 250;
-/** How much slower than the sidecar's clock a worker's clock may run, and how long a kill may take, in milliseconds. */
-const clockSlack = 1.02;
+/** How long a kill may take, in milliseconds. */
 const killMs = 100;
 /** The pause before an unreachable worker is polled again, in milliseconds. */
 const retryPauseMs = 50;
@@ -98,8 +98,7 @@
 	private reportedBorn = Number.NEGATIVE_INFINITY;
 	private fence = 0;
 	private fenceRefusals = 0;
-	/** A reading of the worker's clock, and the local time at which it was made. */
-	private clockReading = {clock: 0, at: 0};
+	private readonly clockOfWorker = WorkerClock.create();
 	/** Consecutive polls without a reply, and when one was last answered or lost. */
 	private unansweredPolls = 0;
 	private answeredAt = 0;
@@ -164,7 +163,7 @@
 		this.reportedBorn = worker.born;
 		if (newer) {
 			this.fence = nextFence(this.fence, clock, 0);
-			this.setClockReading(clock);
+			this.clockOfWorker.restart(clock, this.clock.mono());
 		}
 
 		this.apply({kind: 'reported', worker});
@@ -384,7 +383,7 @@
 		const request: RunRequest = {
 			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
-		this.apply({kind: 'request', request, clock: this.workerClock()});
+		this.apply({kind: 'request', request, clock: this.clockOfWorker.latestAt(this.clock.mono())});
 	}
 
 	private addText(id: number, text: string, link: Link): void {
@@ -614,7 +613,7 @@
 		this.updateFromReply(result);
 		if (result.kind === 'seen' && worker && result.born > worker.born) {
 			this.log.warn({event: 'worker-restarted', life: worker.incarnation, born: result.born}, 'worker restarted');
-			this.setClockReading(result.clock);
+			this.clockOfWorker.restart(result.clock, this.clock.mono());
 		}
 
 		this.apply({kind: 'polled', result, sentAt});
@@ -661,7 +660,7 @@
 	/** Takes the worker's clock from a reply, and raises the fence if the worker has seen a higher one. */
 	private updateFromReply(reply: Reply | PollResult): void {
 		if ('clock' in reply && reply.clock !== undefined) {
-			this.setClockReading(reply.clock);
+			this.clockOfWorker.read(reply.clock, this.clock.mono());
 		}
 
 		if (reply.kind === 'refused' && reply.reason === 'fence') {
@@ -672,13 +671,8 @@
 		}
 	}
 
-	/** Keeps the newest reading, even if it goes back: the worker's clock may be slower than the sidecar's, and a lease that expires too early is the safe error. */
-	private setClockReading(clock: number): void {
-		this.clockReading = {clock, at: this.clock.mono()};
-	}
-
 	private workerClock(): number {
-		return this.clockReading.clock + (this.clock.mono() - this.clockReading.at);
+		return this.clockOfWorker.valueAt(this.clock.mono());
 	}
 
 	/** The worker's clock as a stamp. Rounded down, it is shorter as MessagePack and dates starts earlier at most, which is the safe error. */
--- /dev/null
+++ b/test/worker-clock.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+import {WorkerClock} from '../src/decide/worker-clock.js';
+
+for (const [title, readings, now, value, latest] of [
+	['goes on from the newest reading', [[1000, 0]], 500, 1500, 1500],
+	['of a request is not set back by a reply that was handled late', [[1000, 0], [1100, 900]], 918, 1118, 1900],
+	['follows a clock that is 2% slow', [[1000, 0], [1980, 1020], [2980, 2040]], 2040, 2980, 2980],
+	['follows a clock that is fast', [[1000, 0], [2100, 1000]], 1100, 2200, 2200],
+] as Array<[string, Array<[clock: number, at: number]>, number, number, number]>) {
+	test(`worker clock: the clock ${title}`, t => {
+		const clock = WorkerClock.create();
+		for (const [reading, at] of readings) {
+			clock.read(reading, at);
+		}
+
+		t.deepEqual([clock.valueAt(now), Math.round(clock.latestAt(now))], [value, latest]);
+	});
+}
+
+test('worker clock: the clock begins anew with another incarnation', t => {
+	const clock = WorkerClock.create();
+	clock.read(480_000, 0);
+	clock.restart(100, 50);
+	t.deepEqual([clock.valueAt(60), clock.latestAt(60)], [110, 110]);
+});
