Schedule: a job under which a worker crashed is not told that it has not run

A caller that sent its job again to another entry after two workers had crashed under a task was told 'refused: overloaded', which promises that nothing ran: the task is held for 300 ms until the cause is known, longer than the job's patience, and the entry remembered only its own earlier submissions. A job with a task in a known crash now counts as one that may have run (its verdict is 'expired' or 'failed') and is kept until the hold is over. Found by a review; both new cases failed before.

--- a/src/decide/schedule/isolation.ts
+++ b/src/decide/schedule/isolation.ts
@@ -122,6 +122,11 @@
 		return !this.isIdle && tasks.some(({spec, state}) => state !== 'done' && this.history.suspicionOf(spec.name, now) === 'condemned');
 	}
 
+	/** Whether a worker has crashed under a task of the job, so that it has run, also under an earlier submission. */
+	hasRun(job: Job): boolean {
+		return !this.isIdle && job.tasks.some(({name}) => this.history.has(name));
+	}
+
 	/** Whether crashes speak against a task, so that the place for it is restricted. */
 	isRestricted({spec: {name}}: Task): boolean {
 		return !this.isIdle && this.history.has(name) && this.history.suspicionOf(name, Number.NEGATIVE_INFINITY) !== 'clear';
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -1,3 +1,4 @@
+import {commonCauseMs} from '../crash-history.js';
 import {decideMove} from '../departure.js';
 import {DurationEstimator} from '../duration-estimator.js';
 import type {Outcome, StartRefusal} from '../guard.js';
@@ -266,6 +267,7 @@
 		})).toSorted((a, b) => b.spec.estimateMs - a.spec.estimateMs);
 		const longestMs = this.estimator.expectedMs(job.route, tasks[0]?.spec.estimateMs ?? 0);
 		const objective = job.aimMs + (job.stretch * longestMs);
+		const hasCrashed = this.isolation.hasRun(job);
 		const activeJob: ActiveJob = {
 			job,
 			sequence: ++this.arrivals,
@@ -274,11 +276,12 @@
 			waitingWork: undefined,
 			arrivedAt: now,
 			deadline: now + job.leftMs,
-			refuseAt: now + this.admission.patienceMs(objective, now),
+			// A task under which a worker has crashed may be held until the cause of the crash is known.
+			refuseAt: now + Math.max(this.admission.patienceMs(objective, now), hasCrashed ? commonCauseMs : 0),
 			latestStartAt: now + objective - longestMs,
 			longestMs,
 			objectiveAt: now + objective,
-			mayHaveRunEarlier: this.lostRuns.mayHaveRunBefore(job.id, now),
+			mayHaveRunEarlier: hasCrashed || this.lostRuns.mayHaveRunBefore(job.id, now),
 			mayHaveRun: tasks.some(({spec}) => this.lostRuns.mayStillRun(spec.name, now)),
 		};
 		if (this.isolation.isGivenUp(activeJob, now)) {
--- a/test/crash-play.test.ts
+++ b/test/crash-play.test.ts
@@ -125,3 +125,19 @@
 	t.deepEqual(answers(later), ['failed']);
 	t.is(later.filter(({kind}) => kind === 'stop').length, 2);
 });
+
+for (const [title, events, answered] of [
+	['while the cause of two crashes is open', [crash('a', 20, 'y1.0', 'x1.0'), crash('b', 10, 'x1.0', 'y2.0')], ['failed']],
+	['while no place is open', [crash('a', 20, 'y1.0', 'x1.0'), ...places.map((place): Event => ({kind: 'down', place}))], ['expired']],
+] as Array<[string, Event[], string[]]>) {
+	test(`crashing tasks: a job under which a worker crashed is not told that it has not run when it is sent again ${title}`, t => {
+		const schedule = started([]);
+		const actions = events.flatMap(event => schedule.step(event, 9000));
+		actions.push(...schedule.step({kind: 'submit', job: job('x1', 'x')}, 9010));
+		for (const at of [9040, 9200, 9400, 13_000]) {
+			actions.push(...schedule.step({kind: 'tick'}, at));
+		}
+
+		t.deepEqual(answers(actions), answered);
+	});
+}
