Quarantine: places that can't serve are left out

A quarantine counted every linked place but those that drain. Where a zone was out of service, both of its places could lie in that zone, and every job of the route was refused while other places were open. Places in such zones and of stopping sidecars are left out now.

--- a/src/decide/schedule/isolation.ts
+++ b/src/decide/schedule/isolation.ts
@@ -1,6 +1,7 @@
 import {
 	CrashHistory, commonCauseMs, jobOf, type Crash,
 } from '../crash-history.js';
+import type {StartRefusal} from '../guard.js';
 import {Quarantines} from '../quarantine.js';
 import {rankByRendezvous} from '../rendezvous.js';
 import type {Resources} from '../resources.js';
@@ -14,6 +15,8 @@
 const quarantineShare = 1 / 5;
 /** Pools of fewer places have no quarantine, which would take half of the places from the other routes. */
 const minPlaces = 3;
+/** What a place reports that no quarantine can use. */
+const unusable: ReadonlySet<string> = new Set<StartRefusal>(['draining', 'stopping', 'zone-out']);
 /** How long two suspects of one crash are not started at the same place one after the other, in milliseconds: tasks that crash their workers mostly do so soon after their start. */
 const separationMs = 300;
 /** For so many rounds, of so many milliseconds each, a suspect waits for a place that is kept for it in that round. */
@@ -228,6 +231,14 @@
 		return position < places.length * (round + 1) && places[(position + round) % places.length] === id;
 	}
 
+	/** Returns the places that a quarantine in a pool may use. A crashed worker's place keeps its part, or the quarantine would move on to the next place with each crash. */
+	private usablePlaces(pool: string): string[] {
+		const {places} = this.dependencies;
+		return [...places.all()]
+			.filter(place => place.pool === pool && place.linked && !places.unavailableZones.has(place.zone) && !unusable.has(place.hindrance ?? ''))
+			.map(({id}) => id);
+	}
+
 	/** Chooses the places for quarantined routes among those linked. All entries that see the same places choose the same. */
 	private choosePlaces(): void {
 		const pools = new Set([...this.quarantines.all()].map(({pool}) => pool));
@@ -238,8 +249,7 @@
 		}
 
 		for (const pool of pools) {
-			// A crashed worker's place keeps its part, or the quarantine would move on to the next place with each crash.
-			const ids = [...this.dependencies.places.all()].filter(place => place.pool === pool && place.linked && place.hindrance !== 'draining').map(({id}) => id);
+			const ids = this.usablePlaces(pool);
 			const key = ids.toSorted().join(' ');
 			if (ids.length < minPlaces) {
 				this.placesByPool.delete(pool);
