Driver: a long report of a crash keeps the tasks that were started last

A report names at most 1,000 tasks, in the order of their starts, and it was cut at its end; those started last are the likelier cause (docs/design/crashing-tasks.md, rule 4).

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -504,7 +504,7 @@
 			return;
 		}
 
-		const crash: Crash = {life, at: this.clock.mono(), tasks: tasks.slice(0, maxCrashedTasks)};
+		const crash: Crash = {life, at: this.clock.mono(), tasks: tasks.slice(-maxCrashedTasks)};
 		this.crashes.push(crash);
 		this.dropOldCrashes();
 		for (const link of this.owners.values()) {
