--- a/src/decide/schedule/isolation.ts
+++ b/src/decide/schedule/isolation.ts
@@ -45,7 +45,7 @@
 	private readonly orderByTask = new Map<string, {place: string; at: number}>();
 	/** The open places after each crash, in an order that is the same at all entries. */
 	private readonly placesByCrash = new Map<Crash, readonly string[]>();
-	private readonly knownCauses = new Set<string>();
+	private knownCauses: ReadonlySet<string> = new Set();
 
 	private constructor(private readonly dependencies: IsolationDependencies) {}
 
@@ -81,31 +81,12 @@
 		}
 
 		this.history.expire(now);
-		const notices: CrashNotice[] = [];
-		for (const {task, route, first, second} of this.history.causes(now)) {
-			if (!this.knownCauses.has(task)) {
-				notices.push({
-					kind: 'cause', task, route, crashes: this.history.crashesOf(task).length, tasks: [first.tasks.size, second.tasks.size], places: [first.place, second.place],
-				});
-			}
-		}
-
-		for (const task of this.orderByTask.keys()) {
-			if (!this.history.has(task)) {
-				this.orderByTask.delete(task);
-			}
-		}
-
-		for (const crash of this.placesByCrash.keys()) {
-			if (!this.history.holds(crash)) {
-				this.placesByCrash.delete(crash);
-			}
-		}
-
-		this.knownCauses.clear();
-		for (const {task} of this.history.causes(now)) {
-			this.knownCauses.add(task);
-		}
+		this.forgetExpired();
+		const causes = this.history.causes(now);
+		const notices: CrashNotice[] = causes.filter(({task}) => !this.knownCauses.has(task)).map(({task, route, first, second}) => ({
+			kind: 'cause', task, route, crashes: this.history.crashesOf(task).length, tasks: [first.tasks.size, second.tasks.size], places: [first.place, second.place],
+		}));
+		this.knownCauses = new Set(causes.map(({task}) => task));
 
 		const {places} = this.dependencies;
 		for (const {quarantine, end} of this.quarantines.update(this.history.suspectedRoutes(now), place => places.get(place)?.pool, now)) {
@@ -197,6 +178,21 @@
 		this.quarantines.succeeded(route);
 	}
 
+	/** Forgets the orders and places of crashes that are no longer kept. */
+	private forgetExpired(): void {
+		for (const task of this.orderByTask.keys()) {
+			if (!this.history.has(task)) {
+				this.orderByTask.delete(task);
+			}
+		}
+
+		for (const crash of this.placesByCrash.keys()) {
+			if (!this.history.holds(crash)) {
+				this.placesByCrash.delete(crash);
+			}
+		}
+	}
+
 	private placesIn(pool: string): ReadonlySet<string> | undefined {
 		return this.placesByPool.size === 0 ? undefined : this.placesByPool.get(pool)?.ids;
 	}
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -798,8 +798,8 @@
 		workers: policy.workers.enabled,
 		lookAhead: looksAhead(policy) ? 'on' : 'off',
 		farFactor: Math.max(1, farFactor),
-		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
 		isolation: policy.isolation.enabled !== 'off',
+		// Tasks of one job at one place, in the entry's own zone, save bytes on the entry's link.
 		...(policy.links.enabled !== 'off' && {colocate: true, zone}),
 		...(enabled !== 'off' && {urgentFirst: true, shortage: {...parameters, always: enabled === 'on'}}),
 	};
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -55,6 +55,17 @@
 });
 const otherLife: Event = {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0};
 
+/** Returns the actions of the last of these events. */
+function lastActions(events: readonly Event[]): Array<Record<string, unknown>> {
+	const guard = Guard.create();
+	let actions: Action[] = [];
+	for (const event of events) {
+		actions = guard.step(event, 0);
+	}
+
+	return actions;
+}
+
 for (const [title, events, last] of [
 	['nothing starts before the worker is known', [requested()], [refuse('absent')]],
 	['nothing starts before the first poll shows which orphan runs there are', [reported, requested()], [refuse('unsettled')]],
@@ -140,13 +151,7 @@
 	['tasks start at a worker that answers again', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	test(`guard: ${title}`, t => {
-		const guard = Guard.create();
-		let actions: Action[] = [];
-		for (const event of events) {
-			actions = guard.step(event, 0);
-		}
-
-		t.deepEqual(actions as Array<Record<string, unknown>>, last);
+		t.deepEqual(lastActions(events), last);
 	});
 }
 
@@ -174,13 +179,7 @@
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	// Guards against a start that brings a worker over the capacity that it has now.
 	test(`guard: ${title}`, t => {
-		const guard = Guard.create();
-		let actions: Action[] = [];
-		for (const event of events) {
-			actions = guard.step(event, 0);
-		}
-
-		t.deepEqual(actions as Array<Record<string, unknown>>, last);
+		t.deepEqual(lastActions(events), last);
 	});
 }
 
