Guard: runs are over only when every lease has expired, those of starts included

Cause: whether all leases have expired was reckoned from the last poll that renewed them. A start grants a lease too. A sidecar that had stood still for 1.5 s read starts that were a few milliseconds old, ordered them, and in the same turn took the time-out of a poll sent before its pause as proof that nothing ran any more, those orders included. The entry was told that the runs were lost and started the tasks elsewhere 3 ms later.

The test 'paused sidecar' fails on the code before: the run ordered on waking is told as ended and the sidecar holds no task.

Change: src/decide/leases.ts keeps the end of the longest lease that any order has granted, by the worker's clock; the guard ends runs only when the worker's clock is certain to be past it. Ruled out by the trace: a second submission (one entry started both) and an order carried out late (both starts were ordered in that millisecond).

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -324,7 +324,7 @@
 	private leave(index: number): void {
 		this.running[index]!.clear();
 		this.guard(index, {kind: 'left', incarnation: this.worker(index).incarnation});
-		this.guard(index, {kind: 'lapsed'});
+		this.guard(index, {kind: 'polled', result: {kind: 'unknown', cause: 'ECONNREFUSED', absent: true}, sentAt: this.now});
 		for (const entry of this.linked[index]!) {
 			this.report(index, entry);
 		}
--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -1,6 +1,7 @@
 import type {
 	EndedRun, PollResult, WorkerRefusal, Reply, RunId,
 } from '../ports/executor.js';
+import {Leases} from './leases.js';
 import {consecutiveFailureLimit} from './outlier-ejection.js';
 import {
 	expectedReleases, expectedStart, mayBackfill, nextReservationAt, reservationMs, reservedStart, type ExpectedEnd, type Occupancy, type Release, type Reservation,
@@ -57,10 +58,8 @@
 		| {kind: 'left'; incarnation: string}
 		| {kind: 'started'; run: RunId; reply: Reply}
 		| {kind: 'stopped'; run: RunId; reply: Reply}
-	/** `sentAt` is when the poll was sent, on the same clock as `now` of `step`. */
-		| {kind: 'polled'; result: PollResult; sentAt: number}
-	/** All leases have expired: nothing that was started can still run. */
-		| {kind: 'lapsed'}
+	/** `sentAt` is when the poll was sent, on the same clock as `now` of `step`; `clock` the least that the worker's clock shows now, without which leases are not known to have expired. */
+		| {kind: 'polled'; result: PollResult; sentAt: number; clock?: number}
 		| {kind: 'zone'; out: boolean}
 		| {kind: 'stopping'};
 
@@ -83,6 +82,8 @@
 const unansweredPollLimit = 3;
 /** How often a start that the worker refuses as `old` is retried with a higher run number. */
 const renumberLimit = 4;
+/** The longest lease of a worker unless the settings say otherwise, in milliseconds. */
+const defaultLeaseMs = 1000;
 /** For how many tasks the highest run number is remembered. */
 const rememberedTaskLimit = 2000;
 
@@ -122,9 +123,9 @@
  * is known or the order can no longer take effect.
  */
 export class Guard {
-	/** `lookAhead`: whether reservations are kept. */
-	static create({lookAhead = false}: {lookAhead?: boolean} = {}): Guard {
-		return new Guard(lookAhead);
+	/** `lookAhead`: whether reservations are kept. `leaseMs`: the longest lease that the worker grants, in milliseconds. */
+	static create({lookAhead = false, leaseMs = defaultLeaseMs}: {lookAhead?: boolean; leaseMs?: number} = {}): Guard {
+		return new Guard(lookAhead, Leases.create(leaseMs));
 	}
 
 	/** The worker's current incarnation; nothing starts before it is known. */
@@ -160,7 +161,7 @@
 	/** Runs in a row, of any owner, that failed or hung. */
 	private consecutiveFailures = 0;
 
-	private constructor(private readonly lookAhead: boolean) {}
+	private constructor(private readonly lookAhead: boolean, private readonly leases: Leases) {}
 
 	/** Whether polls are needed, to renew leases, collect ends or find out whether the worker answers again. */
 	get needsPolling(): boolean {
@@ -249,6 +250,19 @@
 		return !this.mayHaveOrphans && ![...this.runs.values()].some(({request, isAwaited}) => request.owner === owner && !isAwaited);
 	}
 
+	/**
+	 * Returns until when an order that is sent now may extend the leases of all runs, and remembers it. `clock` is the worker's clock by the
+	 * newest reading, `sentAt` the date of the request that the order carries out, all in worker-clock milliseconds.
+	 */
+	grantLease(clock: number, sentAt = clock): number {
+		return this.leases.grant(Math.min(clock, sentAt));
+	}
+
+	/** Whether all leases have expired, so that nothing that was started can still run, once the worker's clock shows at least `clock`. */
+	haveLeasesExpired(clock: number): boolean {
+		return this.leases.haveExpired(clock);
+	}
+
 	/** Handles one event. `now` is in monotonic milliseconds. */
 	step(event: Event, now: number): Action[] {
 		const actions: Action[] = [];
@@ -316,12 +330,7 @@
 			}
 
 			case 'polled': {
-				this.handlePoll(event.result, event.sentAt, now, actions);
-				break;
-			}
-
-			case 'lapsed': {
-				this.endAllRuns(now, actions);
+				this.handlePoll(event, now, actions);
 				break;
 			}
 
@@ -497,6 +506,7 @@
 		this.consecutiveFailures = 0;
 		this.endAllRuns(now, actions);
 		this.mayHaveOrphans = true;
+		this.leases.restart();
 	}
 
 	/** Tells of the crash of the current incarnation, unless that was to end: it had left or was draining. */
@@ -596,7 +606,7 @@
 		}
 	}
 
-	private handlePoll(result: PollResult, sentAt: number, now: number, actions: Action[]): void {
+	private handlePoll({result, sentAt, clock}: Event & {kind: 'polled'}, now: number, actions: Action[]): void {
 		if (result.kind !== 'seen') {
 			if (result.kind === 'refused' && result.reason === 'other-life') {
 				this.handleRestart('reply', now, actions);
@@ -609,6 +619,10 @@
 					this.hasRefusedConnection = true;
 					this.recordCrash('connection', actions);
 				}
+
+				if (result.absent || (clock !== undefined && this.leases.haveExpired(clock))) {
+					this.endAllRuns(now, actions);
+				}
 			} else {
 				this.hasRefusedConnection = false;
 			}
--- a/src/decide/worker-clock.ts
+++ b/src/decide/worker-clock.ts
@@ -47,6 +47,11 @@
 		return Math.max(this.valueAt(now), this.leastAt(now));
 	}
 
+	/** The least that the clock shows by the newest reading: what has expired by it has expired for certain. */
+	certainAt(now: number): number {
+		return this.newest.clock + ((now - this.newest.at) / clockSlack);
+	}
+
 	private leastAt(now: number): number {
 		const passedMs = now - this.highest.at;
 		return passedMs > highReadingMs ? Number.NEGATIVE_INFINITY : this.highest.clock + (passedMs / clockSlack);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -5,7 +5,7 @@
 import {subsetSize} from '../decide/announce.js';
 import {isExpectedTime} from '../decide/look-ahead.js';
 import {nextFence} from '../decide/fence.js';
-import {clockSlack, WorkerClock} from '../decide/worker-clock.js';
+import {WorkerClock} from '../decide/worker-clock.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
 import {isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
@@ -49,8 +49,6 @@
 /** The time for a poll's transport, in milliseconds. It doubles with each consecutive lost poll, since the machine may be slow. */
 const marginMs = 60;
 const maxMarginMs = 250;
-/** How long a kill may take, in milliseconds. */
-const killMs = 100;
 /** The pause before an unreachable worker is polled again, in milliseconds. */
 const retryPauseMs = 50;
 /** The largest factor by which that pause grows while the worker stays unreachable. */
@@ -103,7 +101,6 @@
 	private unansweredPolls = 0;
 	private answeredAt = 0;
 	private lostAt = Number.NEGATIVE_INFINITY;
-	private renewedAt = 0;
 	/** When a draining worker leaves at the earliest, on the local clock, if it has said so. */
 	private leavesAt?: number;
 	/** The latest crashes of the worker, the oldest first. */
@@ -121,7 +118,7 @@
 		({
 			clock: this.clock, executor: this.executor, log: this.log, metrics: this.meters,
 		} = dependencies);
-		this.guard = Guard.create({lookAhead: settings.policy?.lookAhead.enabled !== 'off'});
+		this.guard = Guard.create({lookAhead: settings.policy?.lookAhead.enabled !== 'off', leaseMs: settings.leaseMs});
 		this.links = Links.create(this.clock, this);
 		this.meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -526,7 +523,7 @@
 	}
 
 	private async start(run: RunId, request: RunRequest): Promise<void> {
-		const leaseUntil = Math.floor(Math.min(this.workerClock(), request.sentAt) + this.settings.leaseMs);
+		const leaseUntil = this.guard.grantLease(this.workerClock(), request.sentAt);
 		this.meters.starts.inc();
 		const reply = await this.executor.start({
 			...run, spec: request.spec, leaseUntil, fence: this.fence,
@@ -587,13 +584,9 @@
 
 		// The leases of a worker that has not replied for the length of a lease are left to expire, so that its runs are certain to end.
 		const renews = sentAt - this.answeredAt < this.settings.leaseMs;
-		if (renews) {
-			this.renewedAt = sentAt;
-		}
-
 		const result = await this.executor.poll({
 			fence: this.fence,
-			leaseUntil: renews ? Math.floor(this.workerClock() + this.settings.leaseMs) : undefined,
+			leaseUntil: renews ? this.guard.grantLease(this.workerClock()) : undefined,
 			seen: this.guard.lastEndSequence,
 			waitMs: this.waitMs(sentAt),
 			marginMs: Math.min(maxMarginMs, marginMs * (2 ** this.unansweredPolls)),
@@ -616,7 +609,12 @@
 			this.clockOfWorker.restart(result.clock, this.clock.mono());
 		}
 
-		this.apply({kind: 'polled', result, sentAt});
+		const clock = this.clockOfWorker.certainAt(this.clock.mono());
+		const runs = this.guard.runCount;
+		const haveExpired = this.guard.haveLeasesExpired(clock);
+		this.apply({
+			kind: 'polled', result, sentAt, clock,
+		});
 		if (result.kind === 'seen') {
 			if (this.unansweredPolls > 1) {
 				this.log.info({event: 'worker-regained', afterLooks: this.unansweredPolls}, 'worker answers again');
@@ -631,14 +629,12 @@
 			this.lostAt = this.clock.mono();
 			this.meters.unansweredPolls.inc();
 			this.log.info({
-				event: 'look', cause: result.cause, tookMs: Math.round(this.clock.mono() - sentAt), runs: this.guard.runCount,
+				event: 'look', cause: result.cause, tookMs: Math.round(this.clock.mono() - sentAt), runs,
 			}, 'poll not answered');
-			const lapsed = this.clock.mono() - this.renewedAt > (this.settings.leaseMs * clockSlack) + killMs;
-			if (result.absent || lapsed) {
+			if (result.absent || haveExpired) {
 				this.log.warn({
-					event: 'worker-lost', cause: result.cause, runs: this.guard.runCount, looks: this.unansweredPolls,
-				}, 'worker does not answer, all its leases have expired');
-				this.apply({kind: 'lapsed'});
+					event: 'worker-lost', cause: result.cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
+				}, result.absent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
 			}
 		}
 
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -37,6 +37,10 @@
 });
 const offer = (owner: string): Record<string, unknown> => ({kind: 'offer', owner});
 const unansweredPoll: Event = {kind: 'polled', result: unknown, sentAt: 0};
+/** A poll that got no answer, once every lease granted at 0 has expired. */
+const leasesExpired: Event = {
+	kind: 'polled', result: unknown, sentAt: 0, clock: 1200,
+};
 /** Nothing listens at the worker's address. */
 const refusedConnection = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
 const refusedPoll: Event = {kind: 'polled', result: refusedConnection, sentAt: 0};
@@ -55,17 +59,22 @@
 });
 const otherLife: Event = {kind: 'polled', result: {kind: 'refused', reason: 'other-life'}, sentAt: 0};
 
-/** Returns the actions of the last of these events. */
-function lastActions(events: readonly Event[]): Array<Record<string, unknown>> {
+/** Returns the actions of each of these events, all at the time 0. Each start order grants a lease. */
+function play(events: readonly Event[]): Action[][] {
 	const guard = Guard.create();
-	let actions: Action[] = [];
-	for (const event of events) {
-		actions = guard.step(event, 0);
-	}
+	return events.map(event => {
+		const actions = guard.step(event, 0);
+		if (actions.some(({kind}) => kind === 'start')) {
+			guard.grantLease(0);
+		}
 
-	return actions;
+		return actions;
+	});
 }
 
+/** Returns the actions of the last of these events. */
+const lastActions = (events: readonly Event[]): Array<Record<string, unknown>> => play(events).at(-1)!;
+
 for (const [title, events, last] of [
 	['nothing starts before the worker is known', [requested()], [refuse('absent')]],
 	['nothing starts before the first poll shows which orphan runs there are', [reported, requested()], [refuse('unsettled')]],
@@ -119,7 +128,7 @@
 	['runs are lost when their worker restarts', [...ready, requested(), started(), restarted], [crashed('report'), ended('lost', 0)]],
 	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [crashed('born'), ended('lost', 0)]],
 	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), otherLife], [crashed('reply'), ended('lost', 0)]],
-	['all runs are lost when all leases have expired', [...ready, requested(), started(), {kind: 'lapsed'}], [ended('lost', 0)]],
+	['all runs are lost when all leases have expired', [...ready, requested(), started(), leasesExpired], [ended('lost', 0)]],
 	['nothing starts at a worker after three unanswered polls', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['free capacity is offered to the owner that requested it', [...ready, want('e2')], [offer('e2')]],
 	['capacity in use is not offered', [...ready, requested({resources: cpuOnly(7)}), want('e2')], []],
@@ -139,13 +148,13 @@
 	['a stopped start whose connection was refused was not carried out', [...ready, requested(), cancel, started(refusedConnection)], [refuse('absent')]],
 	['nothing more starts at a worker that refused the connection of a start', [...ready, requested(), started(refusedConnection), requested({ref: 2})], [refuse('absent', 2)]],
 	['a run that the worker lists is not told as not run', [...ready, requested(), polled({running: [run()]}), started(refusedConnection)], []],
-	['nothing starts at a worker that refused the connection of one poll', [...ready, refusedPoll, {kind: 'lapsed'}, requested()], [refuse('absent')]],
+	['nothing starts at a worker that refused the connection of one poll', [...ready, refusedPoll, requested()], [refuse('absent')]],
 	['a lost poll after a refused connection does not open the worker', [...ready, refusedPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['tasks start at a worker that answers after a refused connection', [...ready, refusedPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
-	['a newer incarnation after a refused connection is polled for orphan runs first', [...ready, refusedPoll, {kind: 'lapsed'}, restarted, requested()], [refuse('unsettled')]],
+	['a newer incarnation after a refused connection is polled for orphan runs first', [...ready, refusedPoll, restarted, requested()], [refuse('unsettled')]],
 	[
 		'tasks start at a newer incarnation after unanswered polls',
-		[...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, unansweredPoll, unansweredPoll, restarted, polled({born: 2}), requested()],
+		[...ready, requested(), started(), refusedPoll, unansweredPoll, unansweredPoll, restarted, polled({born: 2}), requested()],
 		[{kind: 'start', run: run(2), request: request()}],
 	],
 	['tasks start at a worker that answers again', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, polled(), requested()], [{kind: 'start', run: run(), request: request()}]],
@@ -184,7 +193,7 @@
 }
 
 for (const [title, events, expected] of [
-	['names a run that a refused connection shows to be gone, once', [...ready, requested(), started(), refusedPoll, {kind: 'lapsed'}, restarted, polled({born: 2})], [crashed('connection')]],
+	['names a run that a refused connection shows to be gone, once', [...ready, requested(), started(), refusedPoll, restarted, polled({born: 2})], [crashed('connection')]],
 	['names the routes that entries said', [...ready, requested({route: 'r'}), started(), refusedPoll], [crashed('connection', [['t', 'r']])]],
 	['names a start whose answer is open or was lost', [...ready, requested(), requested({task: 'u', ref: 2}), started(unknown), refusedPoll], [crashed('connection', [['t', ''], ['u', '']])]],
 	['names a run that is being stopped, of a lost entry too', [...ready, requested(), started(), ownerLost, refusedPoll], [crashed('connection')]],
@@ -197,20 +206,41 @@
 		[crashed('reply'), crashed('born', [['t', '']], 'w2/2')],
 	],
 	['is told of an incarnation with the name of the one before', [...ready, polled({born: 2}), {kind: 'reported', worker: worker({born: 3})}], [crashed('born', []), crashed('report', [], 'w1/2')]],
-	['is not what ends runs when leases run out in silence', [...ready, requested(), started(), unansweredPoll, {kind: 'lapsed'}], []],
+	['is not what ends runs when leases run out in silence', [...ready, requested(), started(), unansweredPoll, leasesExpired], []],
 	['is not a worker that does not listen yet', [reported, refusedPoll, polled()], []],
 	['is not the end of a worker that has left', [...ready, requested(), started(), {kind: 'left', incarnation: 'w1'}, refusedPoll, restarted], []],
-	['is not the end of a draining worker', [...ready, requested(), started(), draining, refusedPoll, {kind: 'lapsed'}, restarted], []],
+	['is not the end of a draining worker', [...ready, requested(), started(), draining, refusedPoll, restarted], []],
 	['is not a new incarnation after a drain', [...ready, requested(), started(), draining, polled({born: 2})], []],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
 	// Guards against a task that is held to blame for an end that was planned, and against a crash that is counted twice or not at all.
 	test(`guard: a crash ${title}`, t => {
-		const guard = Guard.create();
-		const actions = events.flatMap(event => guard.step(event, 0));
+		const actions = play(events).flat();
 		t.deepEqual(actions.filter(({kind}) => kind === 'crashed') as Array<Record<string, unknown>>, expected);
 	});
 }
 
+test('guard: what a sidecar orders when it wakes is not over because the leases before its pause have expired', t => {
+	const model = ModelWorker.create({cpu: 10, memoryMb: 100, accelerators: 0}, 1000);
+	const plan: RunPlan = {resources: cpuOnly(4), durationMs: 500, ending: 'done'};
+	const guard = Guard.create();
+	for (const event of ready) {
+		guard.step(event, 0);
+	}
+
+	guard.grantLease(model.clock);
+	model.advance(1500);
+	const [start] = guard.step(requested({sentAt: 1480}, model.clock), 1500);
+	t.is(start?.kind, 'start');
+	const leaseUntil = guard.grantLease(model.clock, 1480);
+	guard.step(started(model.start({
+		...run(), spec: '', fence: 1, leaseUntil,
+	}, plan)), 1500);
+	t.deepEqual(guard.step({
+		kind: 'polled', result: unknown, sentAt: 10, clock: model.clock,
+	}, 1500), []);
+	t.deepEqual([guard.runCount, model.tasks], [1, ['t']]);
+});
+
 /** Returns the events of a run that begins and ends as given. */
 const runThatEnds = (number: number, ending: EndedRun['ending']): Event[] => [
 	requested({owner: `e${number}`, ref: number}), started(done, number), polled({ended: [end({sequence: number, number, ending})]}),
