Guard: a poll or report ends only the runs that it can tell of

What callers could see: a task started elsewhere while its run went on (TWICE), or a run that may have happened told as 'not run'.

A refused connection, a reply of another incarnation, and a report or reply that showed a newer one ended every run, also one ordered after the poll was sent, one whose order was still under way, and, where the newer incarnation has the same name, one that had already started there. After a restart an order without an answer was told as never run when the newer incarnation did not list it, though the earlier one may have run it.

Evidence: ten rows of the table 'guard: an order ...' fail on the code before and pass now.

Change: an order under way is judged by its own answer. A refused connection ends runs whose order was answered before the poll was sent. At a newer incarnation of the same name only the runs that its list or a stop settle are over. What was ordered from an earlier incarnation ends as lost. The report of a crash names no run ordered after the poll that showed it. A run that was listed once ends when it is listed no more, also if the answer to its order was lost.

--- a/bench/plan.ts
+++ b/bench/plan.ts
@@ -615,6 +615,7 @@
 
 		this.at(beginMs, () => {
 			if (this.crashed.has(index)) {
+				this.guard(index, {kind: 'started', run, reply: {kind: 'unknown', cause: 'ECONNREFUSED', absent: true}});
 				return;
 			}
 
--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -103,6 +103,8 @@
 	request: RunRequest;
 	phase: Phase;
 	orderedAt: number;
+	/** When the start order was answered or found unanswered; undefined while it is under way. */
+	settledAt?: number;
 	/** When the worker confirmed the start. */
 	startedAt?: number;
 	/** When the start order was found unanswered, or the stop was answered: polls sent from then on are conclusive. */
@@ -110,6 +112,8 @@
 	renumberings: number;
 	/** Whether the worker confirmed the start or listed the run. */
 	hasBegun: boolean;
+	/** The start of the incarnation that it was ordered from. */
+	born: number;
 	/** Whether its owner still expects a result; false once the owner was lost. */
 	isAwaited: boolean;
 };
@@ -458,7 +462,7 @@
 		const run = {task: request.task, number: (this.runNumbers.get(request.task) ?? 0) + 1};
 		this.rememberNumber(run);
 		this.runs.set(request.task, {
-			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, isAwaited: true,
+			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, born: this.worker!.born, isAwaited: true,
 		});
 		actions.push({kind: 'start', run, request});
 	}
@@ -483,7 +487,9 @@
 		}
 
 		if (previous && worker.born > previous.born) {
-			this.handleRestart('report', now, actions);
+			this.recordCrash('report', [...this.runs.values()], actions);
+			this.handleRestart();
+			this.reviewRuns(worker.incarnation === previous.incarnation, now, actions);
 		}
 
 		this.isCapacityKnown = true;
@@ -499,22 +505,43 @@
 		}
 	}
 
-	/** A restarted worker numbers its ends from 1 again, and runs at most what an earlier incarnation of this process started there. */
-	private handleRestart(sign: CrashSign, now: number, actions: Action[]): void {
-		this.recordCrash(sign, actions);
+	/** A restarted worker numbers its ends from 1 again, and its clock and its orphan runs are not known. */
+	private handleRestart(): void {
 		this.lastEndSequence = 0;
 		this.consecutiveFailures = 0;
-		this.endAllRuns(now, actions);
+		this.orphanRuns.clear();
 		this.mayHaveOrphans = true;
 		this.leases.restart();
 	}
 
-	/** Tells of the crash of the current incarnation, unless that was to end: it had left or was draining. */
-	private recordCrash(sign: CrashSign, actions: Action[]): void {
+	/**
+	 * Handles the runs of an incarnation that has ended. An order under way is judged by its own answer. Where the newer incarnation has
+	 * the same name, orders to the earlier one may have reached it, so that only a poll tells.
+	 */
+	private reviewRuns(hasSameName: boolean, now: number, actions: Action[]): void {
+		for (const active of this.runs.values()) {
+			if (active.settledAt === undefined) {
+				continue;
+			}
+
+			if (!hasSameName) {
+				this.endRun(active, 'lost', now, actions);
+			} else if (active.phase === 'stopping') {
+				active.conclusiveFrom = undefined;
+				actions.push({kind: 'stop', run: active.run});
+			} else {
+				active.phase = 'unsettled';
+				active.conclusiveFrom = now;
+			}
+		}
+	}
+
+	/** Tells of the crash of the current incarnation, unless that was to end: it had left or was draining. `runs` are those that it may have run. */
+	private recordCrash(sign: CrashSign, runs: readonly ActiveRun[], actions: Action[]): void {
 		const {worker} = this;
 		const tasks = [
 			...[...this.orphanRuns.keys()].filter(task => !this.runs.has(task)).map(task => [task, ''] as const),
-			...[...this.runs.values()].map(({request: {task, route = ''}}) => [task, route] as const),
+			...runs.map(({request: {task, route = ''}}) => [task, route] as const),
 		];
 		// A worker that has just started may not listen yet.
 		const mayBeStarting = sign === 'connection' && tasks.length === 0;
@@ -544,6 +571,7 @@
 			return;
 		}
 
+		active.settledAt = now;
 		switch (reply.kind) {
 			case 'done': {
 				active.startedAt = now;
@@ -571,6 +599,8 @@
 			case 'refused': {
 				if (reply.reason === 'old' && active.phase === 'starting' && active.renumberings < renumberLimit) {
 					active.renumberings++;
+					active.settledAt = undefined;
+					active.born = this.worker!.born;
 					active.run = {task: run.task, number: run.number + (2 ** active.renumberings)};
 					this.rememberNumber(active.run);
 					actions.push({kind: 'start', run: active.run, request: active.request});
@@ -607,33 +637,64 @@
 	}
 
 	private handlePoll({result, sentAt, clock}: Event & {kind: 'polled'}, now: number, actions: Action[]): void {
-		if (result.kind !== 'seen') {
-			if (result.kind === 'refused' && result.reason === 'other-life') {
-				this.handleRestart('reply', now, actions);
-				this.hasLeft = true;
+		switch (result.kind) {
+			case 'seen': {
+				this.handleListing(result, sentAt, now, actions);
+				break;
 			}
 
-			if (result.kind === 'unknown') {
+			case 'refused': {
+				this.hasRefusedConnection = false;
+				if (result.reason === 'other-life') {
+					this.recordCrash('reply', this.runsOrderedBy(sentAt), actions);
+					this.handleRestart();
+					this.reviewRuns(false, now, actions);
+					this.hasLeft = true;
+				}
+
+				break;
+			}
+
+			case 'unknown': {
 				this.unansweredPolls++;
 				if (result.absent) {
 					this.hasRefusedConnection = true;
-					this.recordCrash('connection', actions);
+					this.recordCrash('connection', this.runsOrderedBy(sentAt), actions);
+					this.endRunsSettledBy(sentAt, now, actions);
 				}
 
-				if (result.absent || (clock !== undefined && this.leases.haveExpired(clock))) {
+				if (clock !== undefined && this.leases.haveExpired(clock)) {
 					this.endAllRuns(now, actions);
 				}
-			} else {
-				this.hasRefusedConnection = false;
+
+				break;
 			}
+		}
+	}
 
-			return;
+	/** The runs that were ordered before a poll was sent, so that its result can tell of them. */
+	private runsOrderedBy(sentAt: number): ActiveRun[] {
+		return [...this.runs.values()].filter(({orderedAt}) => orderedAt <= sentAt);
+	}
+
+	/** Nothing listened at the worker's address after `sentAt`. What was ordered later may have reached a newer incarnation, and so may an order under way. */
+	private endRunsSettledBy(sentAt: number, now: number, actions: Action[]): void {
+		this.mayHaveOrphans = false;
+		this.orphanRuns.clear();
+		for (const active of this.runs.values()) {
+			if (active.settledAt !== undefined && active.settledAt <= sentAt) {
+				this.endRun(active, 'lost', now, actions);
+			}
 		}
+	}
 
+	private handleListing(result: PollResult & {kind: 'seen'}, sentAt: number, now: number, actions: Action[]): void {
 		this.workerAnswered();
-
+		const listed = new Map(result.running.map(run => [run.task, run]));
+		const isListed = ({run}: ActiveRun): boolean => listed.get(run.task)?.number === run.number;
 		if (this.worker && result.born > this.worker.born) {
-			this.handleRestart('born', now, actions);
+			this.recordCrash('born', this.runsOrderedBy(sentAt).filter(active => !isListed(active)), actions);
+			this.handleRestart();
 			this.hasCrashed = false;
 			this.hasLeft = false;
 			this.isCapacityKnown = false;
@@ -644,11 +705,9 @@
 			this.handleEnd(end, now, actions);
 		}
 
-		const listed = new Map(result.running.map(run => [run.task, run]));
 		this.stopOrphanRuns(result.running, actions);
 		for (const active of this.runs.values()) {
-			const isListed = listed.get(active.run.task)?.number === active.run.number;
-			if (isListed) {
+			if (isListed(active)) {
 				this.markRunning(active);
 			} else {
 				this.handleUnlisted(active, sentAt, now, actions);
@@ -700,7 +759,7 @@
 			}
 
 			case 'running': {
-				if (active.startedAt !== undefined && sentAt >= active.startedAt) {
+				if (active.settledAt !== undefined && sentAt >= active.settledAt) {
 					this.endRun(active, 'lost', now, actions);
 				}
 
@@ -741,9 +800,9 @@
 		}
 	}
 
-	/** Ends a stopped run: as lost if it had begun, else as refused because it never ran. */
+	/** Ends a stopped run: as refused if it never ran, else as lost. A worker doesn't list what an earlier incarnation has run. */
 	private finishStoppedRun(active: ActiveRun, now: number, actions: Action[]): void {
-		if (active.hasBegun) {
+		if (active.hasBegun || active.born !== this.worker!.born) {
 			this.endRun(active, 'lost', now, actions);
 		} else {
 			this.refuseRun(active, 'withdrawn', actions);
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -219,6 +219,35 @@
 	});
 }
 
+/** A poll that was sent before the orders of a test, and its result is known after them. */
+const sentBefore = (result: PollResult): Event => ({
+	kind: 'polled', result, sentAt: -1, clock: 900,
+});
+const rebornWorker: Event = {kind: 'reported', worker: worker({born: 2})};
+
+for (const [title, events, last] of [
+	['is not over because a poll sent before it got no answer', [...ready, requested(), started(), sentBefore(unknown)], []],
+	['is not over because a poll sent before it found nothing listening', [...ready, requested(), started(), sentBefore(refusedConnection)], []],
+	['under way is judged by its own answer where nothing listens', [...ready, requested(), refusedPoll, started(refusedConnection)], [refuse('absent')]],
+	['under way is judged by its own answer where another incarnation answers', [...ready, requested(), otherLife, started({kind: 'refused', reason: 'other-life'})], [refuse('other-life')]],
+	['under way is judged by its own answer where another incarnation reports', [...ready, requested(), restarted, started({kind: 'refused', reason: 'other-life'})], [refuse('other-life')]],
+	['that the next incarnation of its name runs goes on', [...ready, requested(), started(), rebornWorker, polled({born: 2, running: [run()]}), polled({born: 2, ended: [end()]})], [ended('done')]],
+	['that the next incarnation of its name lists in the reply that shows it goes on', [...ready, requested(), started(), polled({born: 2, running: [run()]})], [crashed('born', [])]],
+	['that the next incarnation of its name does not list is stopped there first', [...ready, requested(), started(), rebornWorker, polled({born: 2})], [stop]],
+	[
+		'that an earlier incarnation may have run is lost, not refused as never run',
+		[...ready, requested(), started(unknown), rebornWorker, polled({born: 2}), stopped(), polled({born: 2})],
+		[ended('lost')],
+	],
+	['that is being stopped is stopped again at the next incarnation of its name', [...ready, requested(), started(), cancel, stopped(), rebornWorker], [crashed('report'), stop]],
+	['sent after a crash is not blamed for it', [...ready, requested(), started(), sentBefore({kind: 'refused', reason: 'other-life'})], [crashed('reply', []), ended('lost')]],
+] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
+	// Guards against a run that goes on after its task was told as over and was started elsewhere.
+	test(`guard: an order ${title}`, t => {
+		t.deepEqual(lastActions(events), last);
+	});
+}
+
 test('guard: what a sidecar orders when it wakes is not over because the leases before its pause have expired', t => {
 	const model = ModelWorker.create({cpu: 10, memoryMb: 100, accelerators: 0}, 1000);
 	const plan: RunPlan = {resources: cpuOnly(4), durationMs: 500, ending: 'done'};
