Reports of the worker: figures that no worker can have are refused

An operator reported that one odd entry, with a number too large or a port out of range, stopped machines from following their list of workers. Trials here: a report with a start far ahead, a number of 1e308, capacities of 1e308 or below 0, a clock of 1e300 or 200,000 labels was taken for the worker's own. Its capacities were offered until the next good report, its clock dated leases, and the start or number shut out all later reports.

Cause: the decoder checked the types of the fields, not their ranges.

The start, clock, number, capacities, labels and address now have bounds, with room above what a machine has. Nesting a million deep and numbers that overflow were refused before; tests now hold that.

The start is bounded by the calendar alone (until 2100), not by the sidecar's own time of day and the settings' skew: that time may jump, and a sidecar whose time is behind would refuse a sound worker for as long.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -49,7 +49,32 @@
 	['a number of another type', {...beat, seq: '4'}, false],
 	['a list', [beat], false],
 	['nothing', null, false],
+	['the start that a machine without a time of day has', {...beat, born: 0}, true],
+	['a start hours ahead of the own time of day, which may itself be wrong', {...beat, born: Date.now() + 36_000_000}, true],
+	['a start after the end of the century', {...beat, born: Number.MAX_SAFE_INTEGER}, false],
+	['a start in fractions', {...beat, born: 0.5}, false],
+	['a start below 0', {...beat, born: -1}, false],
+	['a number that no count reaches', {...beat, seq: 1e308}, false],
+	['a number below 0', {...beat, seq: -1}, false],
+	['a number in fractions', {...beat, seq: 0.5}, false],
+	['a clock of a year', {...beat, clock_ms: 31_536_000_000}, true],
+	['a clock that no worker reaches', {...beat, clock_ms: 1e300}, false],
+	['a clock below 0', {...beat, clock_ms: -1e300}, false],
+	['a machine of 1,024 cores, 32 TB and 64 accelerators', {...beat, capacity: {cpu: 1_024_000, mem_mb: 32_000_000, gpu: 64}}, true],
+	['no room at all', {...beat, capacity: {cpu: 0, mem_mb: 0, gpu: 0}}, true],
+	['processors that no machine has', {...beat, capacity: {...beat.capacity, cpu: 1e308}}, false],
+	['memory that no machine has', {...beat, capacity: {...beat.capacity, mem_mb: 1e308}}, false],
+	['accelerators that no machine has', {...beat, capacity: {...beat.capacity, gpu: 1e308}}, false],
+	['processors below 0', {...beat, capacity: {...beat.capacity, cpu: -5}}, false],
+	['memory below 0', {...beat, capacity: {...beat.capacity, mem_mb: -5}}, false],
+	['accelerators below 0', {...beat, capacity: {...beat.capacity, gpu: -5}}, false],
+	['200,000 labels', {...beat, labels: Array.from({length: 200_000}, () => 'a')}, false],
+	['a label of a megabyte', {...beat, labels: ['a'.repeat(1_000_000)]}, false],
+	['a port out of range', {...beat, addr: '10.0.0.1:99999'}, false],
+	['a port below 0', {...beat, addr: '10.0.0.1:-1'}, false],
+	['no port', {...beat, addr: '10.0.0.1'}, false],
 ] as const) {
+	// Guards against one odd report that is taken for the worker's own.
 	test(`platform: a worker says: ${title}`, t => {
 		t.is(typeof decodeReport('i-1', JSON.stringify(value)) === 'object', expected);
 	});
@@ -67,6 +92,19 @@
 	t.is(typeof decodeReport('i-1', '{'), 'string');
 });
 
+const nested = (text: string): string => '['.repeat(1_000_000) + text + ']'.repeat(1_000_000);
+for (const [title, text] of [
+	['nested a million deep', nested('')],
+	['with capacities nested a million deep', JSON.stringify(beat).replace('"cpu":16000', `"cpu":${nested('')}`)],
+	['with labels nested a million deep', JSON.stringify(beat).replace('["a"]', nested('"a"'))],
+	['with a number of reports that overflows', JSON.stringify(beat).replace('"seq":4', '"seq":1e400')],
+	['with a start that overflows', JSON.stringify(beat).replace('1700000000000', '1e400')],
+] as const) {
+	test(`platform: a report ${title} is refused, and ends nothing`, t => {
+		t.is(typeof decodeReport('i-1', text), 'string');
+	});
+}
+
 // Guards against a delayed report that brings a capacity back which the worker has no more.
 for (const [title, fields, expected] of [
 	['with a lower number is overtaken', {seq: 3}, true],
