Replies of the worker: numbers that no worker can have reached are left out

Cause: a reply's clock, start, run numbers and numbers of ends were read without bounds, and each only moves forward here: an end numbered 1e308 would be acknowledged for good, so that the worker forgets every later end unread; a run number of 1e308 would make every later start of its task old; a clock of 1e300 dates leases and raises the fence. The replies come from the worker itself, and no such reply has been seen.

Change: a reply with a clock or start out of range counts as malformed, that is as unanswered; a start or stop keeps its result without the clock. Rows with a run number outside of 1 to 2^40 are left out, as are ends numbered above a hundred for each millisecond of the reply's own clock, since a new incarnation begins both anew.

--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -130,6 +130,7 @@
 	['a worker that is unwell', 503, {}, {kind: 'refused', reason: 'unwell', clock: undefined}],
 	['a worker that has too much', 429, {}, {kind: 'refused', reason: 'unwell', clock: undefined}],
 	['a malformed order', 400, {}, {kind: 'refused', reason: 'invalid', clock: undefined}],
+	['a clock that no worker reaches is left out', 200, {clock_ms: 1e300}, {kind: 'done', clock: undefined}],
 	['an error of the worker says nothing of the order', 500, {}, {kind: 'unknown', cause: 'status 500', absent: false}],
 ] as const) {
 	test(`platform: a worker answers: ${title}`, t => {
@@ -152,7 +153,23 @@
 	}],
 	['no lists', {clock_ms: 5}, {kind: 'unknown', cause: 'malformed answer', absent: false}],
 	['no clock', {running: [], ended: []}, {kind: 'unknown', cause: 'malformed answer', absent: false}],
+	['a clock that no worker reaches', {clock_ms: 1e300, running: [], ended: []}, {kind: 'unknown', cause: 'malformed answer', absent: false}],
+	['a clock below 0', {clock_ms: -1, running: [], ended: []}, {kind: 'unknown', cause: 'malformed answer', absent: false}],
+	['a start after the end of the century', {
+		clock_ms: 5, born: Number.MAX_SAFE_INTEGER, running: [], ended: [],
+	}, {kind: 'unknown', cause: 'malformed answer', absent: false}],
+	['numbers that no worker can have reached are left out', {
+		clock_ms: 5,
+		born: 9,
+		running: [['t', 1e308], ['u', 0], ['v', 0.5], ['w', 3]],
+		ended: [[1e308, 'u', 1, 'done'], [601, 'u', 1, 'done'], [0, 'u', 1, 'done'], [1, 'u', 1e308, 'done'], [600, 'u', 1, 'done']],
+	}, {
+		kind: 'seen', clock: 5, born: 9, running: [{task: 'w', number: 3}], ended: [{
+			sequence: 600, task: 'u', number: 1, ending: 'done',
+		}],
+	}],
 ] as const) {
+	// Guards against one odd row or figure after which the ends or the incarnation of a worker are never read again.
 	test(`platform: a worker shows: ${title}`, t => {
 		t.deepEqual(decodeLook({status: 200, body}) as Record<string, unknown>, look);
 	});
