Guard: a late leave notice does not close the next incarnation of its name

What callers could see: a worker in service that gets no tasks for as long as it lives.

Cause: the notice by which a worker leaves names no start. One that is delayed, or from another writer, was taken for one of the incarnation that is there when the names are the same, and nothing but a newer start undid it. Found by a trial of the work on odd reports: after it the guard refused every start as 'absent', whatever reports and polls said.

Change: the notice is taken as of the worker's clock at its arrival; a report made later than that shows that the worker is there.

Evidence: 'tasks start at a worker that reports after a late leave notice of its name' fails on the code before with the refusal 'absent'.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -56,10 +56,12 @@
 		| {kind: 'confirmed'; owner: string; date: number; clock: number}
 	/** The owner has a queued task that needs these resources and should begin within `dueMs`. Stands until the owner gets an offer, requests something else or is lost. `reserve`: asks for a reservation too. */
 		| {kind: 'want'; owner: string; resources: Resources; dueMs: number; reserve?: boolean}
-		| {kind: 'reported'; worker: Worker}
+	/** `clock` is the worker's clock when it made the report, in worker-clock milliseconds, if that is known. */
+		| {kind: 'reported'; worker: Worker; clock?: number}
 	/** Another incarnation has reported. `isOpen`: the worker has neither confirmed nor contradicted it yet. */
 		| {kind: 'restartReported'; isOpen: boolean}
-		| {kind: 'left'; incarnation: string}
+	/** `clock` is the worker's clock when the notice arrived. The notice names no start, so that it may be a late one of an earlier incarnation of the same name: a report made after it shows that the worker is there. */
+		| {kind: 'left'; incarnation: string; clock?: number}
 		| {kind: 'started'; run: RunId; reply: Reply}
 		| {kind: 'stopped'; run: RunId; reply: Reply}
 	/** `sentAt` is when the poll was sent, on the same clock as `now` of `step`; `clock` the least that the worker's clock shows now, without which leases are not known to have expired. */
@@ -157,7 +159,8 @@
 	private mayHaveRestarted = false;
 	private isZoneOut = false;
 	private isStopping = false;
-	private hasLeft = false;
+	/** The worker's clock when the current incarnation was found to have left; undefined while it has not. */
+	private leftAt?: number;
 	/** Whether the worker's current incarnation has reported its capacity. One that a poll has shown may have less than the one before. */
 	private isCapacityKnown = true;
 	/** Whether the crash of the worker's current incarnation has been told. */
@@ -197,7 +200,7 @@
 			return 'stopping';
 		}
 
-		if (!this.worker || !this.isCapacityKnown || this.hasLeft || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
+		if (!this.worker || !this.isCapacityKnown || this.leftAt !== undefined || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
 			return 'absent';
 		}
 
@@ -331,7 +334,7 @@
 			}
 
 			case 'reported': {
-				this.handleReport(event.worker, now, actions);
+				this.handleReport(event, now, actions);
 				break;
 			}
 
@@ -341,7 +344,7 @@
 			}
 
 			case 'left': {
-				this.handleLeave(event.incarnation);
+				this.handleLeave(event);
 				break;
 			}
 
@@ -503,7 +506,7 @@
 		return this.hasCapacityFor(request.owner, request.resources, now) && this.respectsReservation(request, now) ? undefined : 'room';
 	}
 
-	private handleReport(worker: Worker, now: number, actions: Action[]): void {
+	private handleReport({worker, clock = 0}: Event & {kind: 'reported'}, now: number, actions: Action[]): void {
 		const previous = this.worker;
 		if (previous && worker.born < previous.born) {
 			return;
@@ -521,16 +524,19 @@
 		}
 
 		this.worker = worker.born === previous?.born && previous.draining ? {...worker, draining: true} : worker;
+		if (worker.born !== previous?.born || clock > (this.leftAt ?? clock)) {
+			this.leftAt = undefined;
+		}
+
 		if (worker.born !== previous?.born) {
-			this.hasLeft = false;
 			this.hasCrashed = false;
 			this.workerAnswered();
 		}
 	}
 
-	private handleLeave(incarnation: string): void {
+	private handleLeave({incarnation, clock = Number.POSITIVE_INFINITY}: Event & {kind: 'left'}): void {
 		if (this.worker?.incarnation === incarnation) {
-			this.hasLeft = true;
+			this.leftAt = clock;
 		}
 	}
 
@@ -574,7 +580,7 @@
 		];
 		// A worker that has just started may not listen yet.
 		const mayBeStarting = sign === 'connection' && tasks.length === 0;
-		if (!worker || worker.draining || this.hasLeft || this.hasCrashed || mayBeStarting) {
+		if (!worker || worker.draining || this.leftAt !== undefined || this.hasCrashed || mayBeStarting) {
 			return;
 		}
 
@@ -678,7 +684,7 @@
 					this.recordCrash('reply', this.runsOrderedBy(sentAt), actions);
 					this.handleRestart();
 					this.reviewRuns(false, now, actions);
-					this.hasLeft = true;
+					this.leftAt = Number.POSITIVE_INFINITY;
 				}
 
 				break;
@@ -725,7 +731,7 @@
 			this.recordCrash('born', this.runsOrderedBy(sentAt).filter(active => !isListed(active)), actions);
 			this.handleRestart();
 			this.hasCrashed = false;
-			this.hasLeft = false;
+			this.leftAt = undefined;
 			this.isCapacityKnown = false;
 			this.worker = {...this.worker, born: result.born, draining: false};
 		}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -5,7 +5,7 @@
 import {defaultLeaseBounds, type LeaseBounds} from '../decide/leases.js';
 import {subsetSize} from '../decide/announce.js';
 import {isExpectedTime} from '../decide/look-ahead.js';
-import {ReportCheck, type ReportEvent} from '../decide/report-check.js';
+import {ReportCheck, type Report, type ReportEvent} from '../decide/report-check.js';
 import {nextFence} from '../decide/fence.js';
 import {WorkerClock} from '../decide/worker-clock.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
@@ -169,7 +169,7 @@
 	/** Handles the orderly end of an incarnation of the worker. */
 	workerLeft(life: string): void {
 		this.log.info({event: 'worker-left', life}, 'worker left');
-		this.apply({kind: 'left', incarnation: life});
+		this.apply({kind: 'left', incarnation: life, clock: this.workerClock()});
 	}
 
 	/** Accepts no more requests, and resolves once all runs have ended or `withinMs` has passed. */
@@ -306,7 +306,7 @@
 		for (const action of this.reports.step(event, this.clock.mono())) {
 			switch (action.kind) {
 				case 'accept': {
-					this.acceptReport(action.report.worker, action.clock);
+					this.acceptReport(action.report, action.clock);
 					break;
 				}
 
@@ -363,7 +363,8 @@
 		}
 	}
 
-	private acceptReport(worker: Worker, clock: number): void {
+	/** `clock` is the worker's clock now. */
+	private acceptReport({worker, clock: reportedAt}: Report, clock: number): void {
 		const before = this.guard.worker;
 		if (before && worker.born < before.born) {
 			return;
@@ -379,7 +380,7 @@
 			this.clockOfWorker.readDelayed(clock, this.clock.mono());
 		}
 
-		this.apply({kind: 'reported', worker});
+		this.apply({kind: 'reported', worker, clock: reportedAt});
 		const leaveMoved = this.updateLeave(worker, newer);
 		const resized = before !== undefined && !isSameSize(before.capacity, this.guard.worker!.capacity);
 		if (newer || leaveMoved || resized || before?.draining !== worker.draining) {
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -87,6 +87,12 @@
 	['nothing starts at a draining worker', [...ready, {kind: 'reported', worker: worker({draining: true})}, requested()], [refuse('draining')]],
 	['a late report does not end a drain', [...ready, {kind: 'reported', worker: worker({draining: true})}, reported, requested()], [refuse('draining')]],
 	['nothing starts at a worker that left', [...ready, {kind: 'left', incarnation: 'w1'}, requested()], [refuse('absent')]],
+	[
+		'tasks start at a worker that reports after a late leave notice of its name',
+		[...ready, {kind: 'left', incarnation: 'w1', clock: 500}, {...reported, clock: 501}, requested()],
+		[{kind: 'start', run: run(), request: request()}],
+	],
+	['a report made before a leave notice does not open the worker', [...ready, {kind: 'left', incarnation: 'w1', clock: 500}, {...reported, clock: 500}, requested()], [refuse('absent')]],
 	['a leave notice of an earlier incarnation changes nothing', [...ready, {kind: 'left', incarnation: 'w0'}, requested()], [{kind: 'start', run: run(), request: request()}]],
 	[
 		'a report of an earlier incarnation changes nothing',
