Links, store: a version that the store can't have reached is refused by the decoder

Cause: a desired state's version only moves forward. One entry's 'newest' with the digest of the state in force, or a 'desired', of 1e308 set it for good, and every later change of the store was ignored as older; a store's answer could do the same. Change: versions are integers up to 2^50. Remains: a false version below the bound is still taken from another entry.

--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -10,6 +10,9 @@
 /** The time stamp of a sidecar's messages: its worker's clock in milliseconds. The entry's starts return it with its age, so that they are dated by the same clock. */
 const stamp = z.number();
 const ref = z.int();
+/** The highest version of a desired state, far above the number of writes that the store can have taken. */
+export const maxVersion = 2 ** 50;
+const version = z.int().min(0).max(maxVersion);
 /** A time from now in milliseconds and a capacity in thousandths of a core. */
 const release = z.tuple([z.number(), z.number()]).readonly();
 
@@ -99,7 +102,7 @@
 	z.object({
 		kind: z.literal('want'), room, dueMs: z.number(), reserve: z.boolean().optional(),
 	}),
-	z.object({kind: z.literal('zones'), asOf: z.number(), out: z.array(z.string()).readonly()}),
+	z.object({kind: z.literal('zones'), asOf: version, out: z.array(z.string()).readonly()}),
 ] as const;
 
 /** The messages between entries. `entries` is sent to sidecars too. */
@@ -110,11 +113,11 @@
 	 * The version of the desired state that the sender holds, and a digest of its text. A higher `asOf` is newer. The
 	 * store counts versions over all of its rows, so that the same state may be known under several.
 	 */
-	z.object({kind: z.literal('newest'), asOf: z.number(), digest: z.string().max(100).optional()}),
+	z.object({kind: z.literal('newest'), asOf: version, digest: z.string().max(100).optional()}),
 	/** Requests that desired state. */
 	z.object({kind: z.literal('fetch')}),
 	/** A desired state, as received from the platform. */
-	z.object({kind: z.literal('desired'), asOf: z.number(), text: z.string()}),
+	z.object({kind: z.literal('desired'), asOf: version, text: z.string()}),
 ] as const;
 
 /** A heartbeat. `needed`: the sender needs the link, so the receiver must send heartbeats at the short interval too. */
