Address book: a process known under two addresses is linked once

Cause: a sidecar that knows an entry under two addresses (a row or message with another spelling of the port) dialled both, each new link ended the one before, and that one was dialled again. Callers could see: runs of that entry ended as lost several times a second. Change: an address whose process is linked under another one is not dialled.

--- a/src/ephemeral/address-book.ts
+++ b/src/ephemeral/address-book.ts
@@ -33,6 +33,8 @@
 	failed: boolean;
 	since: number;
 	seed: boolean;
+	/** The process that was last reached there. */
+	process?: string;
 };
 
 /** AddressBook holds the addresses where entries may be found, with at most one link to each. Addresses without a link are dialled at intervals. */
@@ -87,6 +89,15 @@
 		}
 	}
 
+	/** Records which process is at the end of a link. Of several addresses of one process only one is linked. */
+	reached(link: Link, process: string): void {
+		for (const known of this.known.values()) {
+			if (known.link === link) {
+				known.process = process;
+			}
+		}
+	}
+
 	/** Removes a link that has ended. */
 	linkEnded(link: Link): void {
 		for (const known of this.known.values()) {
@@ -101,8 +112,13 @@
 		this.forget();
 		const maxLinks = this.options.subset?.maxLinks ?? Number.POSITIVE_INFINITY;
 		const surplus: Link[] = [];
+		const linked = new Set([...this.known.values()].filter(({link}) => link?.isOpen).map(({process}) => process));
 		let counted = 0;
 		for (const known of this.inOrder()) {
+			if (!known.link && known.process !== undefined && linked.has(known.process)) {
+				continue;
+			}
+
 			if (counted >= maxLinks) {
 				if (known.link) {
 					surplus.push(known.link);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -404,6 +404,8 @@
 		const owner = ownerOf(link);
 		this.owners.get(owner)?.close();
 		this.owners.set(owner, link);
+		// The entry takes the newer of two links too: if both addresses were dialled in turn, each new link would end the runs of the one before.
+		this.book.reached(link, owner);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
 		this.dropOldCrashes();
 		for (const crash of this.crashes) {
