Driver: a start or want whose size is out of range is refused alone

Cause: a size of less than nothing fits everywhere and frees room. Two starts of -1e308 made the capacity in use infinite, which no entry's schema takes, so that the links of all other entries ended. Change: such a start is refused as invalid, such a want ignored; both are counted, and logged once a link with field and entry.

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -9,7 +9,7 @@
 import {nextFence} from '../decide/fence.js';
 import {WorkerClock} from '../decide/worker-clock.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
-import {isSameSize} from '../decide/resources.js';
+import {areAmounts, isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, PollResult, Reply, RunId,
@@ -418,7 +418,14 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
-				this.handleStart(message, link);
+				if (areAmounts(message.room)) {
+					this.handleStart(message, link);
+				} else {
+					this.figureIgnored('room', message.room, link);
+					this.meters.refusedRequests.inc({why: 'invalid'});
+					link.send({kind: 'refused', ref: message.ref, why: 'invalid'});
+				}
+
 				break;
 			}
 
@@ -445,6 +452,11 @@
 			}
 
 			case 'want': {
+				if (!areAmounts(message.room)) {
+					this.figureIgnored('room', message.room, link);
+					break;
+				}
+
 				this.apply({
 					kind: 'want', owner: ownerOf(link), resources: message.room, dueMs: message.dueMs, reserve: message.reserve,
 				});
@@ -519,21 +531,25 @@
 		return {...(releases.length > 0 && {releases}), ...(reserved && {reserved})};
 	}
 
-	/** Returns the expected time of a start unless it is out of range: such is ignored, counted, and logged once for each link. */
+	/** Returns the expected time of a start unless it is out of range: such is ignored. */
 	private checkExpectedMs(expectedMs: number | undefined, link: Link): number | undefined {
 		if (expectedMs === undefined || isExpectedTime(expectedMs)) {
 			return expectedMs;
 		}
 
+		this.figureIgnored('expectedMs', expectedMs, link);
+		return undefined;
+	}
+
+	/** Counts a figure that is out of range. The first one of a link is logged. */
+	private figureIgnored(field: string, value: unknown, link: Link): void {
 		this.meters.ignoredFigures.inc({from: 'entry'});
 		if (!this.linksWithIgnoredFigures.has(link)) {
 			this.linksWithIgnoredFigures.add(link);
 			this.log.warn({
-				event: 'figure-ignored', entry: link.peer?.node, field: 'expectedMs', value: expectedMs,
-			}, 'figure of an entry\'s start ignored');
+				event: 'figure-ignored', entry: link.peer?.node, field, value,
+			}, 'figure of an entry ignored');
 		}
-
-		return undefined;
 	}
 
 	private updateZones(asOf: number, out: readonly string[]): void {
