Links: the names in a hello are bounded

Cause: a hello may take 16 MB, and its names are logged with each line about the link and kept as keys. Change: names of up to 256 characters, 64 features; a longer one ends its own link. Evidence: odd-figures, a hello with a node, life, address and features of a megabyte; each printed 'undefined' for the problem before, as the link was accepted.

--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -16,6 +16,11 @@
 /** A time from now in milliseconds and a capacity in thousandths of a core. */
 const release = z.tuple([z.number(), z.number()]).readonly();
 
+/** The longest name of a node, an incarnation, an address or a feature, in characters, and the most features: hellos are logged. */
+export const maxNameLength = 256;
+const maxFeatures = 64;
+const name = z.string().max(maxNameLength);
+
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
 export type Feature = 'specs' | 'msgpack' | 'parts' | 'crashes' | 'callers' | 'lookAhead';
 /** The features of this version that are announced whenever those of the links are on. */
@@ -36,12 +41,12 @@
 const hello = z.object({
 	kind: z.literal('hello'),
 	role: z.enum(['entry', 'sidecar']),
-	node: z.string().min(1),
-	life: z.string().min(1),
+	node: name.min(1),
+	life: name.min(1),
 	/** The address on which an entry listens for links, as host:port. */
-	address: z.string().optional(),
+	address: name.optional(),
 	/** The sender's features, names of later versions included. */
-	features: z.array(z.string()).readonly().optional(),
+	features: z.array(name).max(maxFeatures).readonly().optional(),
 });
 
 /** The messages from a sidecar to an entry. */
@@ -162,8 +167,8 @@
 
 /** Decodes one message. */
 export function decodeMessage(value: unknown): DecodeResult {
-	const name = typeof value === 'object' && value !== null ? (value as {kind?: unknown}).kind : undefined;
-	if (typeof name !== 'string') {
+	const kind = typeof value === 'object' && value !== null ? (value as {kind?: unknown}).kind : undefined;
+	if (typeof kind !== 'string') {
 		return {kind: 'malformed', problem: 'kind: expected the name of a message'};
 	}
 
@@ -172,13 +177,13 @@
 		return {kind: 'message', message};
 	}
 
-	const schema = schemas.get(name);
+	const schema = schemas.get(kind);
 	if (!schema) {
-		return {kind: 'unknown', name};
+		return {kind: 'unknown', name: kind};
 	}
 
 	const parsed = schema.safeParse(value);
 	return parsed.success
 		? {kind: 'message', message: parsed.data}
-		: {kind: 'malformed', problem: parsed.error.issues.map(({path, message}) => `${name}.${path.join('.')}: ${message}`).join('; ')};
+		: {kind: 'malformed', problem: parsed.error.issues.map(({path, message}) => `${kind}.${path.join('.')}: ${message}`).join('; ')};
 }
