Dispatcher: figures of a sidecar that are out of range are left out

Causes, in one function and its callers, so that they are not split: - A place's capacity and what others use there were taken as they came; a place with 1e308, or with less than nothing in use, got the work. Its pool, zone and labels could be megabytes long in each log line. - The run time that a sidecar states was learned as it came. Change: a place out of range has no capacity, one with a name too long no pool; the room message before stays in force; a run has taken at most the time since its order; the timer is set to 2^31 - 1 ms at most. Each figure is counted, and logged once a link. Ruled out: bounding the run time within the schedule changes the recorded actions of schedule-replay, whose random events state any run time.

--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -127,6 +127,11 @@
 		return this.orders.get(ref)?.task.spec.name;
 	}
 
+	/** Returns when the task of an order was last placed, in monotonic milliseconds. */
+	placedAt(ref: number): number | undefined {
+		return this.orders.get(ref)?.task.placedAt;
+	}
+
 	/** Whether jobs of a pool may name the rack of their data. */
 	servesDataRack(pool: string): boolean {
 		return this.workers.isOn(pool);
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -7,6 +7,7 @@
 import {areReleases} from '../decide/look-ahead.js';
 import {LoopDelay, type EntryLoad} from '../decide/overload.js';
 import type {Release} from '../decide/reservation.js';
+import {areAmounts, type Resources} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -15,7 +16,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, maxNameLength, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 
@@ -58,13 +59,23 @@
 /** The longest stay that a draining worker may state, in milliseconds. */
 const maxRemainingMs = 3_600_000;
 
+/** The longest time of a timer in Node.js, in milliseconds: a longer one fires at once. */
+const maxTimerMs = (2 ** 31) - 1;
+/** The longest time that a run may be said to have taken, in milliseconds. */
+const maxRanMs = 3_600_000;
+/** How many labels a place may state; entries use two. */
+const maxLabels = 16;
+const noResources: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
+/** The length of a text of a peer that a log line shows, in characters. */
+const excerptLength = 64;
+
 type Start = MessageToSidecar & {kind: 'start'};
 
 /**
  * A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, the
- * texts sent to it, and the starts that wait for the next flush of the link. `hadBadFigure`: whether a figure of it was out of range.
+ * texts sent to it, the starts that wait for the next flush of the link, and what others use there. `hadBadFigure`: whether a figure of it was out of range.
  */
-type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; undatedStarts: Start[]; hadBadFigure?: boolean};
+type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; undatedStarts: Start[]; others: Resources; hadBadFigure?: boolean};
 type Waiter = (verdict: Verdict) => void;
 
 /**
@@ -408,7 +419,7 @@
 		}
 
 		this.sidecars.set(peer.node, {
-			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(), undatedStarts: [],
+			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(), undatedStarts: [], others: noResources,
 		});
 		link.send({kind: 'zones', asOf: this.desired.asOf, out: this.out});
 		link.send({kind: 'entries', addresses: this.addresses()});
@@ -456,18 +467,25 @@
 		switch (message.kind) {
 			case 'place': {
 				this.updateStamp(sidecar, message.stamp);
-				this.log.info({event: 'place', place, report: message.report}, 'place reported its state');
-				this.apply({kind: 'told', place, report: this.withoutBadFigures(message.report, sidecar)});
+				const report = this.withoutBadFigures(message.report, sidecar);
+				this.log.info({event: 'place', place, report}, 'place reported its state');
+				this.apply({kind: 'told', place, report});
 				this.clear(place, message.clear);
 				break;
 			}
 
 			case 'room': {
 				this.updateStamp(sidecar, message.stamp);
+				if (areAmounts(message.others)) {
+					sidecar.others = message.others;
+				} else {
+					this.figureIgnored('others', message.others, sidecar);
+				}
+
 				this.apply({
 					kind: 'room',
 					place,
-					others: message.others,
+					others: sidecar.others,
 					releases: this.checkReleases('releases', message.releases, sidecar),
 					reserved: this.checkReleases('reserved', message.reserved && [message.reserved], sidecar)?.[0],
 				});
@@ -502,7 +520,7 @@
 				}
 
 				this.apply({
-					kind: 'ended', place, ref: message.ref, outcome: message.outcome, ranMs: message.ranMs,
+					kind: 'ended', place, ref: message.ref, outcome: message.outcome, ranMs: this.checkRanMs(message, sidecar),
 				});
 				break;
 			}
@@ -520,15 +538,37 @@
 		}
 	}
 
-	/** Returns a report without a figure that is out of range. */
+	/** Returns a report without what is out of range. A place whose size is, or what others use there, has no capacity until it says better. */
 	private withoutBadFigures(report: PlaceReport, sidecar: Sidecar): PlaceReport {
-		const {remainingMs} = report;
-		if (remainingMs === undefined || (remainingMs >= 0 && remainingMs <= maxRemainingMs)) {
-			return report;
+		const {
+			zone, pool, room, others, labels, remainingMs,
+		} = report;
+		const checked = {...report};
+		if (!areAmounts(room) || !areAmounts(others)) {
+			this.figureIgnored(areAmounts(room) ? 'others' : 'room', areAmounts(room) ? others : room, sidecar);
+			checked.room = noResources;
+			checked.others = noResources;
+		}
+
+		if (zone.length > maxNameLength || pool.length > maxNameLength) {
+			this.figureIgnored(zone.length > maxNameLength ? 'zone' : 'pool', excerptOf(zone.length > maxNameLength ? zone : pool), sidecar);
+			// No job is of this pool.
+			checked.zone = '';
+			checked.pool = '';
+		}
+
+		if (labels !== undefined && (labels.length > maxLabels || labels.some(label => label.length > maxNameLength))) {
+			this.figureIgnored('labels', excerptOf(labels.slice(0, maxLabels).join(' ')), sidecar);
+			checked.labels = undefined;
+		}
+
+		if (remainingMs !== undefined && !(remainingMs >= 0 && remainingMs <= maxRemainingMs)) {
+			this.figureIgnored('remainingMs', remainingMs, sidecar);
+			checked.remainingMs = undefined;
 		}
 
-		this.figureIgnored('remainingMs', remainingMs, sidecar);
-		return {...report, remainingMs: undefined};
+		sidecar.others = checked.others;
+		return checked;
 	}
 
 	/** Returns figures of a sidecar's near future, or undefined where they are out of range. */
@@ -541,6 +581,16 @@
 		return undefined;
 	}
 
+	/** Returns the time that a run took, at most that since its order: a time that is too long would make its route's jobs seem to take as long. */
+	private checkRanMs({ref, ranMs}: MessageToEntry & {kind: 'ended'}, sidecar: Sidecar): number {
+		if (ranMs < 0 || ranMs > maxRanMs) {
+			this.figureIgnored('ranMs', ranMs, sidecar);
+		}
+
+		const now = this.clock.mono();
+		return Math.min(Math.max(0, ranMs), now - (this.schedule.placedAt(ref) ?? now));
+	}
+
 	/** Counts a figure that is out of range. The first one of a link is logged. */
 	private figureIgnored(field: string, value: unknown, sidecar: Sidecar): void {
 		this.meters.ignoredFigures.inc({from: 'sidecar'});
@@ -592,7 +642,7 @@
 			}
 
 			this.scheduleRefusal(at);
-		}, Math.max(0, Math.ceil(dueAt - now)));
+		}, Math.min(maxTimerMs, Math.max(0, Math.ceil(dueAt - now))));
 	}
 
 	private carryOut(action: Action): void {
@@ -778,6 +828,11 @@
 	}
 }
 
+/** Returns the beginning of a text of a peer, for a log line. */
+function excerptOf(text: string): string {
+	return text.slice(0, excerptLength);
+}
+
 /** Returns the figures of a departure in whole milliseconds, for a log line. */
 function roundFigures(departure: Departure): Departure {
 	return {
