Clock: mono doesn't count a suspension of the machine

Cause: the port promised what its adapter doesn't give: performance.now() follows the system's monotonic clock.

--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -2,7 +2,7 @@
 export type Clock = {
 	/** The wall-clock time in milliseconds since the Unix epoch. */
 	now(): number;
-	/** Monotonic milliseconds from an arbitrary start; they include time in which the process was suspended. */
+	/** Monotonic milliseconds from an arbitrary start. They include time in which the process was stopped, but not time in which its machine was suspended: see docs/design/suspended-machines.md. */
 	mono(): number;
 	/** Resolves after `ms` milliseconds, or at once when `signal` aborts. */
 	sleep(ms: number, signal?: AbortSignal): Promise<void>;
