Heartbeat: confirmations from before a suspension are dropped

Cause: the age of a confirmation is counted on the monotonic clock, which stands still while a machine is suspended. Callers could see: on the wake, a start that lay in the socket ran under a configuration that was withdrawn during the suspension. Change: where the time of day runs ahead of the monotonic clock by more than 500 ms, confirmations are dropped, and replies to earlier requests don't count. A step of the time of day costs a heartbeat. Evidence: heartbeat, a confirmation from before a suspension, asked for before a suspension, asked for after a suspension; each printed '- true + false' before.

--- a/src/sidecar/heartbeat.ts
+++ b/src/sidecar/heartbeat.ts
@@ -20,6 +20,8 @@
 const outageMs = 5000;
 /** The maximum age of a stamp in an echo, in milliseconds: over longer times clocks drift apart. */
 const maxStampAgeMs = 60_000;
+/** How far the time of day may run ahead of the monotonic clock between two looks, in milliseconds, before the machine counts as suspended. */
+const suspensionMs = 500;
 
 /** SidecarAnnouncement is the state that a sidecar reports in its heartbeats. */
 export type SidecarAnnouncement = {session: string; address: string; zone: string; draining: boolean; places: Place[]};
@@ -50,7 +52,8 @@
  * of the configuration from their replies. A start request that carries a confirmation replaces a heartbeat.
  *
  * The age of a confirmation is counted from when its request was sent, on this process's own clock, so
- * that one that lay in a buffer while the process was suspended has expired when it is read.
+ * that one that lay in a buffer while the process was stopped has expired when it is read. That clock doesn't
+ * count the time for which the machine is suspended, so confirmations from before a suspension are dropped.
  */
 export class HeartbeatSender {
 	static create(dependencies: Dependencies): HeartbeatSender {
@@ -68,9 +71,13 @@
 	private outageUntil = Number.NEGATIVE_INFINITY;
 	private requestedVersion = 0;
 	private sessionsVersion = 0;
+	/** The time of day less the monotonic time, as last seen, and the monotonic time at which a suspension was last noticed. */
+	private dayOffset: number;
+	private wokeAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly dependencies: Dependencies) {
 		this.knownEntries = dependencies.initialEntries;
+		this.dayOffset = dependencies.clock.now() - dependencies.clock.mono();
 		this.contacts = new Map(dependencies.initialEntries.map(entry => [entry, noContact(entry)]));
 	}
 
@@ -118,6 +125,7 @@
 
 	/** Whether the current configuration is confirmed recently enough to start a task. */
 	isConfirmed(): boolean {
+		this.dropUncertain();
 		return isConfirmed(this.confirmations, this.contacts.size, this.config.version, this.dependencies.clock.mono());
 	}
 
@@ -129,6 +137,7 @@
 	applyConfirmation(echo: Echo): void {
 		const now = this.dependencies.clock.mono();
 		const asOf = echo.stamp - echo.ageMs;
+		this.dropUncertain();
 		if (!this.contacts.has(echo.entry) || asOf > now || now - echo.stamp > maxStampAgeMs) {
 			return;
 		}
@@ -171,6 +180,7 @@
 
 	private async sendDueHeartbeats(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
+			this.dropUncertain();
 			const now = this.dependencies.clock.mono();
 			for (const entry of entriesDue([...this.contacts.values()], this.purpose(now), now)) {
 				void this.sendHeartbeat(entry);
@@ -228,8 +238,26 @@
 		}
 	}
 
+	/** Drops all confirmations where the time of day has run ahead of the monotonic clock: a suspension, or a correction of the time of day, which costs a heartbeat. */
+	private dropUncertain(): void {
+		const {clock} = this.dependencies;
+		const mono = clock.mono();
+		const offset = clock.now() - mono;
+		if (offset - this.dayOffset > suspensionMs) {
+			this.wokeAt = mono;
+			this.confirmations.clear();
+		}
+
+		this.dayOffset = offset;
+	}
+
 	/** Records a confirmation. Each is valid on its own, whatever arrived before it; only the most recent one is kept. */
 	private recordConfirmation(entry: string, confirmation: Confirmation): void {
+		this.dropUncertain();
+		if (confirmation.requestSentAt <= this.wokeAt) {
+			return;
+		}
+
 		const existing = this.confirmations.get(entry);
 		const contact = this.contacts.get(entry)!;
 		contact.lastHeardAt = Math.max(confirmation.requestSentAt, contact.lastHeardAt);
