--- a/test/odd-figures.test.ts
+++ b/test/odd-figures.test.ts
@@ -110,7 +110,7 @@
 	const worker = ModelWorker.create(room, leaseMs);
 	const meters = DriverMetrics.create();
 	const driver = Driver.create({
-		node: 's', incarnation: 's-1', zone: 'z', seeds, leaseMs,
+		node: 's', incarnation: 's-1', zone: 'z', seeds,
 	}, {
 		clock: systemClock, executor: createExecutor(worker, {resources: {...room, cpu: 4}, durationMs: 50, ending: 'done'}), log, metrics: meters,
 	});
