--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -11,7 +11,7 @@
 const stamp = z.number();
 const ref = z.int();
 /** The highest version of a desired state, far above the number of writes that the store can have taken. */
-export const maxVersion = 2 ** 50;
+export const maxVersion = 2 ** 40;
 const version = z.int().min(0).max(maxVersion);
 /** A time from now in milliseconds and a capacity in thousandths of a core. */
 const release = z.tuple([z.number(), z.number()]).readonly();
