Guard: a date of callers from before all times does not end the leases of others

Cause: the date of a 'callers' message had a bound on one side only, and each lease ends a fixed time after the oldest date, so that one odd date would have let the runs of all entries at that worker lapse.

Change: a date older than the age at which an owner's runs are stopped is left out; the one before stays, and ends that owner's runs in time.

Evidence: 'a lease does not follow a date from before all times' fails on the code before with -1e308 for 1637.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -325,8 +325,8 @@
 			}
 
 			case 'confirmed': {
-				// A date in the future is one of an earlier incarnation's clock.
-				if (event.date - event.clock <= requestMaxAgeMs) {
+				// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
+				if (event.date - event.clock <= requestMaxAgeMs && event.clock - event.date <= this.leases.maxDateAgeMs) {
 					this.leases.setDate(event.owner, event.date);
 				}
 
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -44,6 +44,7 @@
 	['ends a fixed time after the date of the oldest owner', [reported, polled(0), requested('e', 500), requested('f', 900), confirmed('f', 950)], until(500)],
 	['follows the dates that heartbeats carry', [reported, polled(0), requested('e', 500), confirmed('e', 950)], fresh],
 	['does not follow a date from the future, by the clock of an earlier incarnation', [reported, polled(0), requested('e', 500), confirmed('e', 950, 480_000)], until(500)],
+	['does not follow a date from before all times', [reported, polled(0), requested('e', 500), confirmed('e', 950, -1e308)], until(500)],
 	['is bound by an owner that is lost until its runs have ended', [reported, polled(0), requested('e', 500), {kind: 'ownerLost', owner: 'e'}, requested('f', 900)], until(500)],
 	[
 		'is bound by no owner whose runs have ended',
