Guard, links: switches within the linter's limit

The new events and the message 'callers' brought three methods over it. No behaviour changes; the tests of guard, leases, links and odd figures pass.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -325,11 +325,7 @@
 			}
 
 			case 'confirmed': {
-				// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
-				if (event.date - event.clock <= requestMaxAgeMs && event.clock - event.date <= this.leases.maxDateAgeMs) {
-					this.leases.setDate(event.owner, event.date);
-				}
-
+				this.handleConfirmation(event);
 				break;
 			}
 
@@ -338,11 +334,6 @@
 				break;
 			}
 
-			case 'restartReported': {
-				this.mayHaveRestarted = event.isOpen;
-				break;
-			}
-
 			case 'left': {
 				this.handleLeave(event);
 				break;
@@ -363,6 +354,34 @@
 				break;
 			}
 
+			case 'restartReported':
+			case 'zone':
+			case 'stopping': {
+				this.setCondition(event);
+				break;
+			}
+		}
+
+		this.offerFreeCapacity(now, actions);
+		this.grantReservation(now);
+		return actions;
+	}
+
+	private handleConfirmation({owner, date, clock}: Event & {kind: 'confirmed'}): void {
+		// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
+		if (date - clock <= requestMaxAgeMs && clock - date <= this.leases.maxDateAgeMs) {
+			this.leases.setDate(owner, date);
+		}
+	}
+
+	/** Sets one of the conditions under which nothing starts. */
+	private setCondition(event: Event & {kind: 'restartReported' | 'zone' | 'stopping'}): void {
+		switch (event.kind) {
+			case 'restartReported': {
+				this.mayHaveRestarted = event.isOpen;
+				break;
+			}
+
 			case 'zone': {
 				this.isZoneOut = event.out;
 				break;
@@ -373,10 +392,6 @@
 				break;
 			}
 		}
-
-		this.offerFreeCapacity(now, actions);
-		this.grantReservation(now);
-		return actions;
 	}
 
 	/** Offers free capacity to the owners that requested some, the owner of the reservation first, then by due time, for one task each. */
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -16,7 +16,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, maxNameLength, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, isMessageToSidecar, maxNameLength, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 
@@ -245,6 +245,10 @@
 	}
 
 	receive(message: ReceivedMessage, link: Link): void {
+		if (isMessageToSidecar(message)) {
+			return;
+		}
+
 		switch (message.kind) {
 			case 'hello': {
 				this.handleHello(link);
@@ -271,16 +275,6 @@
 
 				break;
 			}
-
-			case 'start':
-			case 'stop':
-			case 'callers':
-			case 'spec':
-			case 'forget':
-			case 'want':
-			case 'zones': {
-				break;
-			}
 		}
 	}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -22,7 +22,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, isMessageToSidecar, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
@@ -192,23 +192,17 @@
 			return;
 		}
 
+		if (isMessageToSidecar(message)) {
+			this.handleRequest(message, link);
+			return;
+		}
+
 		switch (message.kind) {
 			case 'hello': {
 				this.handleHello(link);
 				break;
 			}
 
-			case 'start':
-			case 'callers':
-			case 'spec':
-			case 'forget':
-			case 'stop':
-			case 'want':
-			case 'zones': {
-				this.handleRequest(message, link);
-				break;
-			}
-
 			case 'entries': {
 				this.addAddresses(message.addresses);
 				break;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -153,6 +153,13 @@
 	return ofLinks.some(({shape}) => shape.kind.value === message.kind);
 }
 
+const kindsToSidecar: ReadonlySet<Message['kind']> = new Set(toSidecar.map(({shape}) => shape.kind.value));
+
+/** Returns whether a message is one from an entry to a sidecar. */
+export function isMessageToSidecar(message: Message): message is MessageToSidecar {
+	return kindsToSidecar.has(message.kind);
+}
+
 /** A message on a link. */
 export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | LinkMessage;
 
