Guard: the date of a run stays when its caller may be gone

What callers could see: two runs of one task, where a worker leaves stops unanswered or refuses them and still answers polls.

Cause: the date that bounds a lease was kept for each entry. A caller that leaves a live entry, or one whose entry was lost and has linked again in the same incarnation, was covered by the dates of the others, so that its run was renewed on and on.

Change: each run has its own date, which follows its entry's only while the run is not being stopped and its entry is not lost. Starts that are refused confirm the entry's other runs too; before, a link that brought nothing else ended as overdue. What extends no lease is now 0 instead of the present time, which could be ahead of the worker's clock by an error of the estimate.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -116,6 +116,8 @@
 	renumberings: number;
 	/** Whether the worker confirmed the start or listed the run. */
 	hasBegun: boolean;
+	/** The latest time at which its caller was known to be connected, in worker-clock milliseconds; undefined if that is one of an earlier incarnation's clock. */
+	date?: number;
 	/** The start of the incarnation that it was ordered from. */
 	born: number;
 	/** Whether its owner still expects a result; false once the owner was lost. */
@@ -268,12 +270,12 @@
 	grantLease(clock: number): number {
 		return this.mayHaveOrphans || this.orphanRuns.size > 0
 			? this.leases.withhold(clock)
-			: this.leases.grant(clock, new Set([...this.runs.values()].map(({request: {owner}}) => owner)));
+			: this.leases.grant(clock, Math.min(...[...this.runs.values()].map(({date = Number.NEGATIVE_INFINITY}) => date)));
 	}
 
 	/** Whether an owner that waits for runs has not been heard of for so long that they must be stopped. `clock` is the worker's clock. */
 	isOverdue(owner: string, clock: number): boolean {
-		return this.leases.isOverdue(owner, clock) && [...this.runs.values()].some(({request, isAwaited, phase}) => request.owner === owner && isAwaited && phase !== 'stopping');
+		return this.confirmableRuns(owner).some(({date}) => date !== undefined && this.leases.isOverdue(date, clock));
 	}
 
 	/** Whether all leases have expired, so that nothing that was started can still run, once the worker's clock shows at least `clock`. */
@@ -370,10 +372,17 @@
 	private handleConfirmation({owner, date, clock}: Event & {kind: 'confirmed'}): void {
 		// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
 		if (date - clock <= requestMaxAgeMs && clock - date <= this.leases.maxDateAgeMs) {
-			this.leases.setDate(owner, date);
+			for (const active of this.confirmableRuns(owner)) {
+				active.date = date;
+			}
 		}
 	}
 
+	/** The runs whose callers the owner knows. One that is being stopped, or whose owner was lost, may have lost its caller, so its date stays. */
+	private confirmableRuns(owner: string): ActiveRun[] {
+		return [...this.runs.values()].filter(({request, isAwaited, phase}) => request.owner === owner && isAwaited && phase !== 'stopping');
+	}
+
 	/** Sets one of the conditions under which nothing starts. */
 	private setCondition(event: Event & {kind: 'restartReported' | 'zone' | 'stopping'}): void {
 		switch (event.kind) {
@@ -499,11 +508,10 @@
 			this.endReservationOf(request.owner, now);
 		}
 
-		this.leases.setDate(request.owner, request.sentAt);
 		const run = {task: request.task, number: (this.runNumbers.get(request.task) ?? 0) + 1};
 		this.rememberNumber(run);
 		this.runs.set(request.task, {
-			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, born: this.worker!.born, isAwaited: true,
+			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, date: request.sentAt, born: this.worker!.born, isAwaited: true,
 		});
 		actions.push({kind: 'start', run, request});
 	}
@@ -562,6 +570,9 @@
 		this.orphanRuns.clear();
 		this.mayHaveOrphans = true;
 		this.leases.restart();
+		for (const active of this.runs.values()) {
+			active.date = undefined;
+		}
 	}
 
 	/**
--- a/src/decide/leases.ts
+++ b/src/decide/leases.ts
@@ -15,20 +15,20 @@
 /** How long the worker may take to kill its runs once their lease has expired, in milliseconds. */
 const killMs = 100;
 /**
- * How much too late an owner's date may be, in milliseconds: an entry that is on time doesn't subtract the age of its input (40),
+ * How much too late a date may be, in milliseconds: an entry that is on time doesn't subtract the age of its input (40),
  * the end of a connection takes its way (10), and the worker's clock may be 2% slow since its last reading (40).
  */
 const dateErrorMs = 90;
 /** The share of a caller lease that one order grants. What is left of it is the age at which a start is still taken. */
 const renewalShare = 2 / 3;
-/** The time to stop the runs of an owner whose date is old before all leases expire, in milliseconds: a check each 100, the stop, and polls until its end is listed. */
+/** The time to stop the runs whose date is old before all leases expire, in milliseconds: a check each 100, the stop, and polls until its end is listed. */
 const stopAllowanceMs = 400;
 
 /**
  * Leases keeps until when the runs of one incarnation of a worker may live, in worker-clock milliseconds. A lease holds
  * for all runs there and never shortens, whichever order granted it.
  *
- * Each owner of runs has a date: the latest time at which its callers were known to be connected. No lease ends later than the oldest of these
+ * Each run has a date: the latest time at which its caller was known to be connected. No lease ends later than the oldest of these
  * dates plus `callerLeaseMs`, so that the worker itself ends each run before its caller's second submission arrives, whatever
  * process, link or machine stands still or is lost on the way:
  *
@@ -39,16 +39,15 @@
 		return new Leases(bounds);
 	}
 
-	/** How long after its owner's date a run may live, in worker-clock milliseconds. */
+	/** How long after its date a run may live, in worker-clock milliseconds. */
 	readonly callerLeaseMs: number;
 	/** How far an order extends the leases at most, in milliseconds. */
 	readonly renewalMs: number;
-	/** The age of an owner's date at which its runs are stopped, in milliseconds. */
+	/** The age of its date at which a run is stopped, in milliseconds. */
 	readonly maxDateAgeMs: number;
 
 	/** The end of the longest lease that an order may have granted; undefined before the first order to this incarnation. */
 	private grantedUntil?: number;
-	private readonly dates = new Map<string, number>();
 
 	private constructor(private readonly bounds: LeaseBounds) {
 		this.callerLeaseMs = Math.floor((bounds.resubmitMs - bounds.stopMs - dateErrorMs) / clockSlack);
@@ -56,46 +55,25 @@
 		this.maxDateAgeMs = this.callerLeaseMs - stopAllowanceMs;
 	}
 
-	/** Sets the date of an owner of runs. */
-	setDate(owner: string, date: number): void {
-		this.dates.set(owner, date);
+	/** Whether a date is so old at `clock` that its run is to be stopped. */
+	isOverdue(date: number, clock: number): boolean {
+		return clock - date > this.maxDateAgeMs;
 	}
 
-	/** Whether an owner's date is so old at `clock` that its runs are to be stopped. */
-	isOverdue(owner: string, clock: number): boolean {
-		const date = this.dates.get(owner);
-		return date !== undefined && clock - date > this.maxDateAgeMs;
-	}
-
-	/** Whether the leases granted so far allow a run whose owner's date is `date`. */
+	/** Whether the leases granted so far allow a run with this date. */
 	allowRun(date: number): boolean {
 		return this.grantedUntil === undefined || this.grantedUntil <= date + this.callerLeaseMs;
 	}
 
-	/**
-	 * Returns until when an order sent at `clock` may extend the leases of all runs, and remembers it. `owners` are those of the runs; an owner
-	 * without a date gets no extension. Dates of others are forgotten.
-	 */
-	grant(clock: number, owners: ReadonlySet<string>): number {
-		for (const owner of this.dates.keys()) {
-			if (!owners.has(owner)) {
-				this.dates.delete(owner);
-			}
-		}
-
-		let until = clock + this.renewalMs;
-		for (const owner of owners) {
-			const date = this.dates.get(owner);
-			until = Math.min(until, date === undefined ? clock : date + this.callerLeaseMs);
-		}
-
-		return this.remember(until);
+	/** Returns until when an order sent at `clock` may extend the leases of all runs, the oldest of which has this date, and remembers it. */
+	grant(clock: number, oldestDate: number): number {
+		return this.remember(Math.max(0, Math.min(clock + this.renewalMs, oldestDate + this.callerLeaseMs)));
 	}
 
-	/** Returns `clock`: no lease is extended while there may be runs of unknown owners, which may have the longest lease. */
+	/** Returns 0, which extends no lease, while there may be runs whose dates are not known. They may have the longest lease. */
 	withhold(clock: number): number {
 		this.remember(clock + this.bounds.longestMs);
-		return Math.floor(clock);
+		return 0;
 	}
 
 	/** Whether every run has been killed for want of a lease once the worker's clock shows at least `clock`. */
@@ -106,7 +84,6 @@
 	/** The worker has started again, and its clock with it. */
 	restart(): void {
 		this.grantedUntil = undefined;
-		this.dates.clear();
 	}
 
 	private remember(until: number): number {
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -95,6 +95,8 @@
 	private readonly withdrawnSince = new Map<Link, number>();
 	/** How old the last start was on a link that dates only starts, in milliseconds. */
 	private readonly undatedLags = new WeakMap<Link, number>();
+	/** The date that a link's callers were last confirmed with: the starts of a block have the same. */
+	private readonly confirmedDates = new WeakMap<Link, number>();
 	private readonly linksWithIgnoredFigures = new WeakSet<Link>();
 	private readonly reports = ReportCheck.create();
 	/** The start of the newest incarnation of the worker that has reported. A poll may have shown a newer one. */
@@ -412,6 +414,7 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
+				this.confirmCallers(link, message.stamp + message.age);
 				if (areAmounts(message.room)) {
 					this.handleStart(message, link);
 				} else {
@@ -489,6 +492,11 @@
 	}
 
 	private confirmCallers(link: Link, date: number): void {
+		if (date === this.confirmedDates.get(link)) {
+			return;
+		}
+
+		this.confirmedDates.set(link, date);
 		this.apply({
 			kind: 'confirmed', owner: ownerOf(link), date, clock: this.clockOfWorker.latestAt(this.clock.mono()),
 		});
