Worker clock: reports correct a clock that runs at 0.98

Cause: the certain bound divided by 1.02, which is a rate of 0.9804, and a report had no time to arrive, so that the clock of a worker that is 2% slow was never corrected while it was idle.

Evidence: 'corrects the drift of a clock that is 2% slow' fails on the code before; 'an order to an idle worker whose clock is slow' fails without the reading of reports.

--- a/src/decide/leases.ts
+++ b/src/decide/leases.ts
@@ -1,4 +1,4 @@
-import {clockSlack} from './worker-clock.js';
+import {slowestRate} from './worker-clock.js';
 
 /** LeaseBounds are the times, in milliseconds, that limit how long a run may live. */
 export type LeaseBounds = {
@@ -32,7 +32,7 @@
  * dates plus `callerLeaseMs`, so that the worker itself ends each run before its caller's second submission arrives, whatever
  * process, link or machine stands still or is lost on the way:
  *
- *     callerLeaseMs × clockSlack + dateErrorMs + stopMs ≤ resubmitMs
+ *     callerLeaseMs / slowestRate + dateErrorMs + stopMs ≤ resubmitMs
  */
 export class Leases {
 	static create(bounds: LeaseBounds): Leases {
@@ -50,7 +50,7 @@
 	private grantedUntil?: number;
 
 	private constructor(private readonly bounds: LeaseBounds) {
-		this.callerLeaseMs = Math.floor((bounds.resubmitMs - bounds.stopMs - dateErrorMs) / clockSlack);
+		this.callerLeaseMs = Math.floor((bounds.resubmitMs - bounds.stopMs - dateErrorMs) * slowestRate);
 		this.renewalMs = Math.min(bounds.longestMs, Math.floor(this.callerLeaseMs * renewalShare));
 		this.maxDateAgeMs = this.callerLeaseMs - stopAllowanceMs;
 	}
--- a/src/decide/worker-clock.ts
+++ b/src/decide/worker-clock.ts
@@ -1,5 +1,8 @@
-/** The largest factor by which a worker's clock may be slower than this process's. */
-export const clockSlack = 1.02;
+/** The slowest rate at which a worker's clock may run. */
+export const slowestRate = 0.98;
+
+/** How long a report may have been on its way to correct the clock, in milliseconds. */
+const reportDelayMs = 50;
 
 /** How long a high reading counts, in milliseconds: an order that is older than a lease is void at the worker, however it is dated. */
 const highReadingMs = 1000;
@@ -37,9 +40,9 @@
 		}
 	}
 
-	/** Takes in a reading that may have been on its way for long. It only corrects the drift of a slow clock since the newest reading. */
+	/** Takes in a reading that may be late. It only corrects the drift of a slow clock since the newest reading, and counts only if it may be at most `reportDelayMs` late. */
 	readDelayed(clock: number, now: number): void {
-		if (clock >= this.certainAt(now) && clock < this.valueAt(now)) {
+		if (clock >= this.certainAt(now) - reportDelayMs && clock < this.valueAt(now)) {
 			this.read(clock, now);
 		}
 	}
@@ -56,11 +59,11 @@
 
 	/** The least that the clock shows by the newest reading: what has expired by it has expired for certain. */
 	certainAt(now: number): number {
-		return this.newest.clock + ((now - this.newest.at) / clockSlack);
+		return this.newest.clock + ((now - this.newest.at) * slowestRate);
 	}
 
 	private leastAt(now: number): number {
 		const passedMs = now - this.highest.at;
-		return passedMs > highReadingMs ? Number.NEGATIVE_INFINITY : this.highest.clock + (passedMs / clockSlack);
+		return passedMs > highReadingMs ? Number.NEGATIVE_INFINITY : this.highest.clock + (passedMs * slowestRate);
 	}
 }
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -10,8 +10,8 @@
 
 /** When a caller whose connection broke submits again, and how long the worker takes to stop a run, in milliseconds. */
 const {resubmitMs, stopMs} = defaultLeaseBounds;
-/** How slow a worker's clock may be. */
-const slowness = 1.02;
+/** The rate of the slowest clock of a worker. */
+const rate = 0.98;
 const heartbeatMs = 150;
 const expected = {capacity: {cpu: 10, memoryMb: 100, accelerators: 0}, task: {cpu: 1, memoryMb: 1, accelerators: 0}};
 
@@ -88,8 +88,8 @@
 test('leases: the terms of the bound fit into the time after which a caller submits again', t => {
 	const {callerLeaseMs, renewalMs, maxDateAgeMs} = Leases.create(defaultLeaseBounds);
 	/** An entry that is on time doesn't count its input as old for two ticks of 20 ms; the end of a connection is on its way for 10; the worker's clock was read within 2 s. */
-	const dateErrorMs = 40 + 10 + (2000 * (slowness - 1));
-	t.true((callerLeaseMs * slowness) + dateErrorMs + stopMs <= resubmitMs);
+	const dateErrorMs = 40 + 10 + (2000 * (1 - rate));
+	t.true((callerLeaseMs / rate) + dateErrorMs + stopMs <= resubmitMs);
 	// Heartbeats each 200 ms, looked for each 100, and one more that is lost keep a date fresh.
 	t.true(maxDateAgeMs >= 600);
 	// An owner is found overdue within a check of 100 ms, and an order and a poll take up to 60 ms each.
@@ -98,12 +98,13 @@
 });
 
 /** A worker that notes the end of its lease, and an entry that sends what a test tells it to. */
-type Line = {driver: Driver; runs: RunId[]; links(): number; leaseUntil(): number; clock(): number; send(message: unknown): void; startBeating(): () => void};
+type Line = {driver: Driver; runs: RunId[]; links(): number; leaseUntil(): number; extensionMs(): number; clock(): number; send(message: unknown): void; startBeating(): () => void};
 
 async function openLine(t: ExecutionContext, announced: readonly string[]): Promise<Line> {
 	const from = systemClock.mono();
 	const clock = () => Math.floor(systemClock.mono() - from);
 	let leaseUntil = 0;
+	let extensionMs = 0;
 	let runs: RunId[] = [];
 	let socket: Socket | undefined;
 	let links = 0;
@@ -131,6 +132,7 @@
 		seeds: [`127.0.0.1:${(entry.address() as AddressInfo).port}`],
 		executor: {
 			async start({task, number, leaseUntil: granted}) {
+				extensionMs = granted - clock();
 				leaseUntil = Math.max(leaseUntil, Math.min(granted, clock() + defaultLeaseBounds.longestMs));
 				runs.push({task, number});
 				return {kind: 'done', clock: clock()};
@@ -153,7 +155,7 @@
 	});
 	await waitUntil(() => driver.linkedEntries === 1 && driver.guard.startRefusal === undefined);
 	return {
-		driver, clock, send, runs, links: () => links, leaseUntil: () => leaseUntil, startBeating() {
+		driver, clock, send, runs, links: () => links, leaseUntil: () => leaseUntil, extensionMs: () => extensionMs, startBeating() {
 			const timer = setInterval(() => {
 				send({kind: 'beat', needed: true});
 				if (announced.includes('callers')) {
@@ -183,10 +185,24 @@
 		const silentFrom = line.clock();
 		await waitUntil(() => line.driver.linkedEntries === 0);
 		await systemClock.sleep(500);
-		t.true(((line.leaseUntil() - silentFrom) * slowness) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
+		t.true(((line.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
 	});
 }
 
+test('leases: an order to an idle worker whose clock is slow is dated by its last report', async t => {
+	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
+	await systemClock.sleep(500);
+	const driftMs = 30;
+	line.driver.workerReported({
+		incarnation: 'w-s', born: 1, pool: 'p', capacity: expected.capacity, labels: [], draining: false,
+	}, line.clock() - driftMs);
+	line.send({
+		kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+	});
+	await waitUntil(() => line.runs.length === 1);
+	t.true(line.extensionMs() <= Leases.create(defaultLeaseBounds).renewalMs - driftMs, `${line.extensionMs()} ms`);
+});
+
 test('leases: starts that are refused keep their entry\'s other runs', async t => {
 	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
 	line.send({
@@ -222,5 +238,5 @@
 	await waitUntil(() => line.driver.linkedEntries === 0);
 	clearInterval(late);
 	t.true(line.clock() - silentFrom + stopMs <= resubmitMs);
-	t.true(((line.leaseUntil() - silentFrom) * slowness) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
+	t.true(((line.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
 });
--- a/test/worker-clock.test.ts
+++ b/test/worker-clock.test.ts
@@ -25,7 +25,7 @@
 });
 
 for (const [title, reading, value] of [
-	['corrects the drift of a slow clock', 2970, 2970],
+	['corrects the drift of a clock that is 2% slow', 2955, 2955],
 	['that was late changes nothing', 2000, 3000],
 	['that is ahead changes nothing', 9000, 3000],
 ] as const) {
