Leases: what an earlier incarnation was ordered counts, and a clock that was too high doesn't

Change: until something is known to be granted to an incarnation, the longest lease counts; what is remembered is at most the longest lease from now, as the worker shortens it; without runs nothing is granted.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -268,9 +268,12 @@
 	 * newest reading; both in worker-clock milliseconds.
 	 */
 	grantLease(clock: number): number {
-		return this.mayHaveOrphans || this.orphanRuns.size > 0
-			? this.leases.withhold(clock)
-			: this.leases.grant(clock, Math.min(...[...this.runs.values()].map(({date = Number.NEGATIVE_INFINITY}) => date)));
+		if (this.mayHaveOrphans || this.orphanRuns.size > 0) {
+			return this.leases.withhold(clock);
+		}
+
+		const dates = [...this.runs.values()].map(({date = Number.NEGATIVE_INFINITY}) => date);
+		return dates.length === 0 ? 0 : this.leases.grant(clock, Math.min(...dates));
 	}
 
 	/** Whether an owner that waits for runs has not been heard of for so long that they must be stopped. `clock` is the worker's clock. */
@@ -518,7 +521,7 @@
 
 	private refusalFor(request: RunRequest, clock: number, now: number): StartRefusal | undefined {
 		// A request that seems to come from the future is dated by the clock of an earlier incarnation of the worker, so that its age is not known.
-		if (Math.abs(clock - request.sentAt) > requestMaxAgeMs || !this.leases.allowRun(request.sentAt)) {
+		if (Math.abs(clock - request.sentAt) > requestMaxAgeMs || !this.leases.allowRun(request.sentAt, clock)) {
 			return 'stale';
 		}
 
--- a/src/decide/leases.ts
+++ b/src/decide/leases.ts
@@ -46,7 +46,7 @@
 	/** The age of its date at which a run is stopped, in milliseconds. */
 	readonly maxDateAgeMs: number;
 
-	/** The end of the longest lease that an order may have granted; undefined before the first order to this incarnation. */
+	/** The end of the longest lease that an order may have granted; undefined before the first order that is known to have gone to this incarnation. */
 	private grantedUntil?: number;
 
 	private constructor(private readonly bounds: LeaseBounds) {
@@ -61,18 +61,21 @@
 	}
 
 	/** Whether the leases granted so far allow a run with this date. */
-	allowRun(date: number): boolean {
+	allowRun(date: number, clock: number): boolean {
+		this.limit(clock);
 		return this.grantedUntil === undefined || this.grantedUntil <= date + this.callerLeaseMs;
 	}
 
 	/** Returns until when an order sent at `clock` may extend the leases of all runs, the oldest of which has this date, and remembers it. */
 	grant(clock: number, oldestDate: number): number {
-		return this.remember(Math.max(0, Math.min(clock + this.renewalMs, oldestDate + this.callerLeaseMs)));
+		const until = Math.max(0, Math.floor(Math.min(clock + this.renewalMs, oldestDate + this.callerLeaseMs)));
+		this.remember(clock, until);
+		return until;
 	}
 
 	/** Returns 0, which extends no lease, while there may be runs whose dates are not known. They may have the longest lease. */
 	withhold(clock: number): number {
-		this.remember(clock + this.bounds.longestMs);
+		this.remember(clock, Math.ceil(clock + this.bounds.longestMs));
 		return 0;
 	}
 
@@ -86,9 +89,16 @@
 		this.grantedUntil = undefined;
 	}
 
-	private remember(until: number): number {
-		const whole = Math.floor(until);
-		this.grantedUntil = Math.max(whole, this.grantedUntil ?? whole);
-		return whole;
+	/** An earlier sidecar, or an order to an earlier incarnation of the same name, may have granted the longest lease. */
+	private remember(clock: number, until: number): void {
+		this.limit(clock);
+		this.grantedUntil = Math.max(until, this.grantedUntil ?? Math.ceil(clock + this.bounds.longestMs));
+	}
+
+	/** The worker shortens each lease to the longest from now, so that a reading of its clock that was too high does no lasting harm. */
+	private limit(clock: number): void {
+		if (this.grantedUntil !== undefined) {
+			this.grantedUntil = Math.min(this.grantedUntil, Math.ceil(clock + this.bounds.longestMs));
+		}
 	}
 }
