Dispatcher: a start that has not been sent when its caller leaves is taken back

What callers could see: two runs of one task, where the worker then leaves the stop unanswered.

Cause: an entry whose turn of the event loop is late starts a waiting task in its timers, then reads the end of the caller's connection. Start and stop went out together, and the start was dated by the callers who were still there.

Change: a stop of a start that waits for its link's flush takes it back, and the schedule is told that it was withdrawn, which is true.

Evidence: 'a start that has not been sent when its caller leaves is taken back' fails on the code before: the sidecar starts 'j.0'.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -70,6 +70,7 @@
 const excerptLength = 64;
 
 type Start = MessageToSidecar & {kind: 'start'};
+type StopAction = Action & {kind: 'stop'};
 
 /**
  * A sidecar with a link, the last stamp received from it (its worker's clock in milliseconds), when that arrived, the
@@ -655,7 +656,7 @@
 					}, 'worker leaves before the run can end, stopping it to start it elsewhere');
 				}
 
-				this.sidecars.get(action.place)?.link.send({kind: 'stop', ref: action.ref, hung: action.hung});
+				this.sendStop(action);
 				break;
 			}
 
@@ -749,6 +750,24 @@
 		sidecar.link.send(start);
 	}
 
+	/** Sends a stop, or takes back the start if that has not been sent: its date would be that of the callers who are still there. */
+	private sendStop({place, ref, hung}: StopAction): void {
+		const sidecar = this.sidecars.get(place);
+		const index = sidecar?.undatedStarts.findIndex(start => start.ref === ref) ?? -1;
+		if (!sidecar || index === -1) {
+			sidecar?.link.send({kind: 'stop', ref, hung});
+			return;
+		}
+
+		const [start] = sidecar.undatedStarts.splice(index, 1);
+		sidecar.link.withdraw(start!);
+		queueMicrotask(() => {
+			this.apply({
+				kind: 'refused', place, ref, why: 'withdrawn',
+			});
+		});
+	}
+
 	/**
 	 * Dates the messages that are about to be sent: by the starts among them, or by a message of its own while tasks are under way. Callers
 	 * may have left since the sockets were last read, and may have submitted their jobs elsewhere, so what an event loop that is late sends is as
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -162,6 +162,16 @@
 		}
 	}
 
+	/** Takes back a message that waits to be sent with the others of this turn. Returns whether it did. */
+	withdraw(message: Message): boolean {
+		const index = this.pending.indexOf(message);
+		if (index !== -1) {
+			this.pending.splice(index, 1);
+		}
+
+		return index !== -1;
+	}
+
 	/** Ends the link and passes the reason to its receiver. */
 	close(why: LinkEndReason = 'closed', problem?: string): void {
 		this.end(why, problem);
--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -57,6 +57,24 @@
 	});
 }
 
+test('departed caller: a start that has not been sent when its caller leaves is taken back', async t => {
+	const {entries: [dispatcher], executors: [executor]} = await startCluster(t, 1, 1);
+	const starts: string[] = [];
+	const {start} = executor!;
+	executor!.start = async (order, life) => {
+		starts.push(order.task);
+		return start(order, life);
+	};
+
+	await waitUntil(() => dispatcher!.schedule.placeCounts.open === 1);
+	const leave = dispatcher!.submit(createJob('j', 1), () => undefined);
+	leave();
+	t.deepEqual(await submit(dispatcher!, createJob('k', 1)), {kind: 'completed'});
+	t.deepEqual(starts, ['k.0']);
+	t.deepEqual(await submit(dispatcher!, createJob('j', 1)), {kind: 'completed'});
+	t.deepEqual(starts, ['k.0', 'j.0']);
+});
+
 test('departed caller: a sidecar refuses a start whose entry has not read its sockets since callers may have left', async t => {
 	const {entries: [entry], driverMetrics: [meters]} = await startCluster(t, 1, 1);
 	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
