Worker clock: stamps of one incarnation are not those of another

What callers could see: two runs of one task after a worker has started again.

Cause: stamps are times of the worker's clock, which begins anew with each incarnation. Where the clocks of two incarnations were within 600 ms of each other, a start dated by the earlier one seemed young, or a date was up to 600 ms too late. Found by the random histories (a start at 1,308 ms, after the second submission; a run at 2,800 ms).

Change: the sidecar adds an offset to its stamps, so that those of an incarnation begin 10 s after the last of the one before, and takes it off what comes back. Stamps mean nothing to entries, so links stay as they are.

--- a/src/decide/worker-clock.ts
+++ b/src/decide/worker-clock.ts
@@ -7,6 +7,9 @@
 /** How long a high reading counts, in milliseconds: an order that is older than a lease is void at the worker, however it is dated. */
 const highReadingMs = 1000;
 
+/** How far the stamps of an incarnation of the worker are from those of the one before, in milliseconds: longer than a link that carries them can be silent. */
+const stampGapMs = 10_000;
+
 /** Reading is what a worker's clock showed at the latest at the local time `at`; both in milliseconds. */
 type Reading = {clock: number; at: number};
 
@@ -21,6 +24,10 @@
 
 	private newest: Reading = {clock: 0, at: 0};
 	private highest: Reading = {clock: 0, at: 0};
+	/** Added to the clock in stamps, so that no date of an earlier incarnation is taken for one of this. */
+	private stampOffset = 0;
+	/** The highest stamp so far; undefined before the first incarnation is known. */
+	private highestStamp?: number;
 
 	private constructor() {
 		// Created by `create`.
@@ -28,6 +35,8 @@
 
 	/** The worker has started again, and its clock with it. */
 	restart(clock: number, now: number): void {
+		this.stampOffset = this.highestStamp === undefined ? 0 : Math.max(0, Math.ceil(this.highestStamp + stampGapMs - clock));
+		this.highestStamp = Math.max(clock, this.highestStamp ?? clock);
 		this.newest = {clock, at: now};
 		this.highest = this.newest;
 	}
@@ -47,6 +56,22 @@
 		}
 	}
 
+	/** Returns the clock as a stamp, which no other incarnation has; 0 before the first is known. */
+	stampAt(now: number): number {
+		if (this.highestStamp === undefined) {
+			return 0;
+		}
+
+		const stamp = this.valueAt(now) + this.stampOffset;
+		this.highestStamp = Math.max(stamp, this.highestStamp);
+		return stamp;
+	}
+
+	/** Returns the time of the worker's clock that a stamp, or a date by one, stands for. */
+	clockOf(stamp: number): number {
+		return stamp - this.stampOffset;
+	}
+
 	/** The clock by the newest reading, even if that went back: the worker's clock may be slow, and a lease that expires too early is the safe error. */
 	valueAt(now: number): number {
 		return this.newest.clock + (now - this.newest.at);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -414,7 +414,7 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
-				this.confirmCallers(link, message.stamp + message.age);
+				this.confirmCallers(link, this.clockOfWorker.clockOf(message.stamp + message.age));
 				if (areAmounts(message.room)) {
 					this.handleStart(message, link);
 				} else {
@@ -427,7 +427,7 @@
 			}
 
 			case 'callers': {
-				this.confirmCallers(link, message.stamp + message.age);
+				this.confirmCallers(link, this.clockOfWorker.clockOf(message.stamp + message.age));
 				break;
 			}
 
@@ -481,7 +481,7 @@
 		}
 
 		const request: RunRequest = {
-			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
+			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: this.clockOfWorker.clockOf(stamp + age), expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
 		const clock = this.clockOfWorker.latestAt(this.clock.mono());
 		if (!link.speaks('callers')) {
@@ -491,6 +491,7 @@
 		this.apply({kind: 'request', request, clock});
 	}
 
+	/** `date` is in worker-clock milliseconds. */
 	private confirmCallers(link: Link, date: number): void {
 		if (date === this.confirmedDates.get(link)) {
 			return;
@@ -817,8 +818,8 @@
 
 	/** The worker's clock as a stamp. Rounded down, it is shorter as MessagePack and dates starts earlier at most, which is the safe error. */
 	private stampFor(link: Link): number {
-		const clock = this.workerClock();
-		return link.speaks('msgpack') ? Math.floor(clock) : clock;
+		const stamp = this.clockOfWorker.stampAt(this.clock.mono());
+		return link.speaks('msgpack') ? Math.floor(stamp) : stamp;
 	}
 
 	private reportToAll(): void {
--- a/test/worker-clock.test.ts
+++ b/test/worker-clock.test.ts
@@ -37,3 +37,15 @@
 		t.is(clock.valueAt(2000), value);
 	});
 }
+
+for (const [title, clock] of [['starts from 0', 0], ['is about the same', 4900], ['is far higher', 480_000]] as const) {
+	// Guards against a start or date by the clock of an earlier incarnation that seems to be a young one.
+	test(`worker clock: a stamp is older than any start may be where the clock of the next incarnation ${title}`, t => {
+		const workerClock = WorkerClock.create();
+		workerClock.restart(0, 0);
+		const stamp = workerClock.stampAt(5000);
+		workerClock.restart(clock, 5100);
+		t.true(workerClock.valueAt(5100) - workerClock.clockOf(stamp + 100) > 600);
+		t.is(workerClock.clockOf(workerClock.stampAt(5200)), clock + 100);
+	});
+}
