--- a/src/decide/leases.ts
+++ b/src/decide/leases.ts
@@ -22,7 +22,7 @@
 /** The share of a caller lease that one order grants. What is left of it is the age at which a start is still taken. */
 const renewalShare = 2 / 3;
 /** The time to stop the runs whose date is old before all leases expire, in milliseconds: a check each 100, the stop, and polls until its end is listed. */
-const stopAllowanceMs = 400;
+const stopAllowanceMs = 300;
 
 /**
  * Leases keeps until when the runs of one incarnation of a worker may live, in worker-clock milliseconds. A lease holds
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -41,8 +41,8 @@
 
 export type DriverDependencies = {clock: Clock; executor: Executor; log: Logger; metrics: DriverMetrics};
 
-/** How long a poll may wait for a run to end, in milliseconds: a third of a lease, so that a lease survives two lost replies. */
-const pollWaitMs = 300;
+/** How long a poll may wait for a run to end, in milliseconds: with it a lease of 757 ms survives two lost polls. */
+const pollWaitMs = 200;
 /** The same for `afterLossForMs` after a poll was lost, so that another loss delays the report of an end only briefly. */
 const pollWaitAfterLossMs = 40;
 const afterLossForMs = 8000;
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -120,13 +120,30 @@
 });
 
 /** A worker that notes the end of its lease, and an entry that sends what a test tells it to. */
-type Line = {driver: Driver; runs: RunId[]; links(): number; leaseUntil(): number; extensionMs(): number; clock(): number; send(message: unknown): void; startBeating(): () => void};
+type Line = {
+	driver: Driver;
+	runs: RunId[];
+	/** How many links the sidecar has opened. */
+	links(): number;
+	leaseUntil(): number;
+	/** By how much the last start extended the lease, in milliseconds. */
+	extensionMs(): number;
+	hasLapsed(): boolean;
+	clock(): number;
+	send(message: unknown): void;
+	startBeating(): () => void;
+	/** From now on polls wait as they are asked to, and this many are lost on their way. */
+	losePolls(count: number): void;
+};
 
 async function openLine(t: ExecutionContext, announced: readonly string[]): Promise<Line> {
 	const from = systemClock.mono();
 	const clock = () => Math.floor(systemClock.mono() - from);
 	let leaseUntil = 0;
 	let extensionMs = 0;
+	let lostPolls = 0;
+	let hasLapsed = false;
+	let isPrompt = true;
 	let runs: RunId[] = [];
 	let socket: Socket | undefined;
 	let links = 0;
@@ -163,9 +180,16 @@
 			async stop() {
 				return {kind: 'unknown', cause: 'lost', absent: false};
 			},
-			async poll({leaseUntil: granted, waitMs}) {
+			async poll({leaseUntil: granted, waitMs, marginMs}) {
+				if (lostPolls > 0) {
+					lostPolls--;
+					await systemClock.sleep(waitMs + marginMs);
+					return {kind: 'unknown', cause: 'lost', absent: false};
+				}
+
+				hasLapsed ||= runs.length > 0 && clock() > leaseUntil;
 				leaseUntil = Math.max(leaseUntil, Math.min(granted ?? 0, clock() + defaultLeaseBounds.longestMs));
-				await systemClock.sleep(Math.min(10, waitMs));
+				await systemClock.sleep(isPrompt ? Math.min(10, waitMs) : waitMs);
 				return {
 					kind: 'seen', clock: clock(), born: 1, running: [...runs], ended: [],
 				};
@@ -177,7 +201,10 @@
 	});
 	await waitUntil(() => driver.linkedEntries === 1 && driver.guard.startRefusal === undefined);
 	return {
-		driver, clock, send, runs, links: () => links, leaseUntil: () => leaseUntil, extensionMs: () => extensionMs, startBeating() {
+		driver, clock, send, runs, links: () => links, leaseUntil: () => leaseUntil, extensionMs: () => extensionMs, hasLapsed: () => hasLapsed, losePolls(count) {
+			isPrompt = false;
+			lostPolls = count;
+		}, startBeating() {
 			const timer = setInterval(() => {
 				send({kind: 'beat', needed: true});
 				if (announced.includes('callers')) {
@@ -244,6 +271,23 @@
 	t.deepEqual([line.links(), line.driver.guard.runCount], [1, 1]);
 });
 
+for (const count of [1, 2]) {
+	test(`leases: a lease survives ${count} polls that are lost on their way`, async t => {
+		const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
+		const stopBeating = line.startBeating();
+		line.send({
+			kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+		});
+		await waitUntil(() => line.runs.length === 1);
+		line.losePolls(0);
+		await systemClock.sleep(500);
+		line.losePolls(count);
+		await systemClock.sleep(1500);
+		stopBeating();
+		t.false(line.hasLapsed());
+	});
+}
+
 test('leases: messages that a sidecar reads late do not make their entry look alive', async t => {
 	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
 	const stopBeating = line.startBeating();
