Guard: a worker that refuses its polls is one that doesn't answer

What callers could see: jobs that wait for runs which are over, and capacity that is never free again.

Cause: only a poll without an answer counted as unanswered.

Change: a refusal that neither a higher fence nor another name mends counts as an unanswered poll.

Evidence: two rows in test/guard.test.ts fail on the code before.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -80,6 +80,11 @@
 	/** The incarnation `life` of the worker crashed and ran these tasks, or may have, those started last at the end. It comes once, before the ends of their runs. `route` is empty where it is not known. */
 		| {kind: 'crashed'; life: string; sign: CrashSign; tasks: ReadonlyArray<readonly [name: string, route: string]>};
 
+/** Whether a poll brought nothing: it got no answer, or the worker refused it for a reason that another fence or name does not mend, and so renewed no lease. */
+export function isPollUnanswered(result: PollResult): boolean {
+	return result.kind === 'unknown' || (result.kind === 'refused' && result.reason !== 'fence' && result.reason !== 'other-life');
+}
+
 /** The maximum age of a request on arrival, in worker-clock milliseconds; less than the silence after which its entry closes the link. */
 export const requestMaxAgeMs = 600;
 /** How long offered capacity is reserved, in milliseconds: a round trip between regions (8 ms each way) and one turn of both event loops. */
@@ -714,28 +719,33 @@
 					this.handleRestart();
 					this.reviewRuns(false, now, actions);
 					this.leftAt = Number.POSITIVE_INFINITY;
+				} else if (isPollUnanswered(result)) {
+					this.handleUnansweredPoll(clock, now, actions);
 				}
 
 				break;
 			}
 
 			case 'unknown': {
-				this.unansweredPolls++;
 				if (result.absent) {
 					this.hasRefusedConnection = true;
 					this.recordCrash('connection', this.runsOrderedBy(sentAt), actions);
 					this.endRunsSettledBy(sentAt, now, actions);
 				}
 
-				if (clock !== undefined && this.leases.haveExpired(clock)) {
-					this.endAllRuns(now, actions);
-				}
-
+				this.handleUnansweredPoll(clock, now, actions);
 				break;
 			}
 		}
 	}
 
+	private handleUnansweredPoll(clock: number | undefined, now: number, actions: Action[]): void {
+		this.unansweredPolls++;
+		if (clock !== undefined && this.leases.haveExpired(clock)) {
+			this.endAllRuns(now, actions);
+		}
+	}
+
 	/** The runs that were ordered before a poll was sent, so that its result can tell of them. */
 	private runsOrderedBy(sentAt: number): ActiveRun[] {
 		return [...this.runs.values()].filter(({orderedAt}) => orderedAt <= sentAt);
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -1,6 +1,6 @@
 import type {Logger} from 'pino';
 import {
-	Guard, type Action, type RunRequest, type Event, type Worker,
+	Guard, isPollUnanswered, type Action, type RunRequest, type Event, type Worker,
 } from '../decide/guard.js';
 import {defaultLeaseBounds, type LeaseBounds} from '../decide/leases.js';
 import {subsetSize} from '../decide/announce.js';
@@ -764,17 +764,19 @@
 			return;
 		}
 
-		if (result.kind === 'unknown') {
+		if (isPollUnanswered(result)) {
+			const cause = result.kind === 'unknown' ? result.cause : result.reason;
+			const isAbsent = result.kind === 'unknown' && result.absent;
 			this.unansweredPolls++;
 			this.lostAt = this.clock.mono();
 			this.meters.unansweredPolls.inc();
 			this.log.info({
-				event: 'look', cause: result.cause, tookMs: Math.round(this.clock.mono() - sentAt), runs,
+				event: 'look', cause, tookMs: Math.round(this.clock.mono() - sentAt), runs,
 			}, 'poll not answered');
-			if (result.absent || haveExpired) {
+			if (isAbsent || haveExpired) {
 				this.log.warn({
-					event: 'worker-lost', cause: result.cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
-				}, result.absent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
+					event: 'worker-lost', cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
+				}, isAbsent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
 			}
 		}
 
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -41,6 +41,7 @@
 const leasesExpired: Event = {
 	kind: 'polled', result: unknown, sentAt: 0, clock: 1200,
 };
+const refusedAsUnwell: Event = {kind: 'polled', result: {kind: 'refused', reason: 'unwell'}, sentAt: 0};
 /** Nothing listens at the worker's address. */
 const refusedConnection = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
 const refusedPoll: Event = {kind: 'polled', result: refusedConnection, sentAt: 0};
@@ -135,6 +136,14 @@
 	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [crashed('born'), ended('lost', 0)]],
 	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), otherLife], [crashed('reply'), ended('lost', 0)]],
 	['all runs are lost when all leases have expired', [...ready, requested(), started(), leasesExpired], [ended('lost', 0)]],
+	[
+		'all runs are lost when all leases have expired at a worker that refuses polls',
+		[...ready, requested(), started(), {
+			kind: 'polled', result: {kind: 'refused', reason: 'unwell'}, sentAt: 0, clock: 1200,
+		}],
+		[ended('lost', 0)],
+	],
+	['nothing starts at a worker after three polls that it refused', [...ready, refusedAsUnwell, refusedAsUnwell, refusedAsUnwell, requested()], [refuse('absent')]],
 	['nothing starts at a worker after three unanswered polls', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['free capacity is offered to the owner that requested it', [...ready, want('e2')], [offer('e2')]],
 	['capacity in use is not offered', [...ready, requested({resources: cpuOnly(7)}), want('e2')], []],
