Driver: the fence rises with a restart that a poll shows

Cause: it rose with the report of a newer incarnation only. An order to the earlier one that is carried out late could start at the next one of the same name, which has seen no fence, until then.

Change: a poll that shows a newer start raises the fence, and the next poll carries it to the worker.

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -745,6 +745,8 @@
 
 		this.updateFromReply(result);
 		if (result.kind === 'seen' && worker && result.born > worker.born) {
+			// An order to the earlier incarnation that is still under way must not be carried out by this one.
+			this.fence = nextFence(this.fence, result.clock, 0);
 			this.log.warn({event: 'worker-restarted', life: worker.incarnation, born: result.born}, 'worker restarted');
 			this.clockOfWorker.restart(result.clock, this.clock.mono());
 		}
