--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -56,10 +56,12 @@
 		| {kind: 'confirmed'; owner: string; date: number; clock: number}
 	/** The owner has a queued task that needs these resources and should begin within `dueMs`. Stands until the owner gets an offer, requests something else or is lost. `reserve`: asks for a reservation too. */
 		| {kind: 'want'; owner: string; resources: Resources; dueMs: number; reserve?: boolean}
-		| {kind: 'reported'; worker: Worker}
+	/** `clock` is the worker's clock when it made the report, in worker-clock milliseconds, if that is known. */
+		| {kind: 'reported'; worker: Worker; clock?: number}
 	/** Another incarnation has reported. `isOpen`: the worker has neither confirmed nor contradicted it yet. */
 		| {kind: 'restartReported'; isOpen: boolean}
-		| {kind: 'left'; incarnation: string}
+	/** `clock` is the worker's clock when the notice arrived. The notice names no start, so that it may be a late one of an earlier incarnation of the same name: a report made after it shows that the worker is there. */
+		| {kind: 'left'; incarnation: string; clock?: number}
 		| {kind: 'started'; run: RunId; reply: Reply}
 		| {kind: 'stopped'; run: RunId; reply: Reply}
 	/** `sentAt` is when the poll was sent, on the same clock as `now` of `step`; `clock` the least that the worker's clock shows now, without which leases are not known to have expired. */
@@ -78,6 +80,11 @@
 	/** The incarnation `life` of the worker crashed and ran these tasks, or may have, those started last at the end. It comes once, before the ends of their runs. `route` is empty where it is not known. */
 		| {kind: 'crashed'; life: string; sign: CrashSign; tasks: ReadonlyArray<readonly [name: string, route: string]>};
 
+/** Whether a poll brought nothing: it got no answer, or the worker refused it for a reason that another fence or name does not mend, and so renewed no lease. */
+export function isPollUnanswered(result: PollResult): boolean {
+	return result.kind === 'unknown' || (result.kind === 'refused' && result.reason !== 'fence' && result.reason !== 'other-life');
+}
+
 /** The maximum age of a request on arrival, in worker-clock milliseconds; less than the silence after which its entry closes the link. */
 export const requestMaxAgeMs = 600;
 /** How long offered capacity is reserved, in milliseconds: a round trip between regions (8 ms each way) and one turn of both event loops. */
@@ -114,6 +121,8 @@
 	renumberings: number;
 	/** Whether the worker confirmed the start or listed the run. */
 	hasBegun: boolean;
+	/** The latest time at which its caller was known to be connected, in worker-clock milliseconds; undefined if that is one of an earlier incarnation's clock. */
+	date?: number;
 	/** The start of the incarnation that it was ordered from. */
 	born: number;
 	/** Whether its owner still expects a result; false once the owner was lost. */
@@ -157,7 +166,8 @@
 	private mayHaveRestarted = false;
 	private isZoneOut = false;
 	private isStopping = false;
-	private hasLeft = false;
+	/** The worker's clock when the current incarnation was found to have left; undefined while it has not. */
+	private leftAt?: number;
 	/** Whether the worker's current incarnation has reported its capacity. One that a poll has shown may have less than the one before. */
 	private isCapacityKnown = true;
 	/** Whether the crash of the worker's current incarnation has been told. */
@@ -197,7 +207,7 @@
 			return 'stopping';
 		}
 
-		if (!this.worker || !this.isCapacityKnown || this.hasLeft || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
+		if (!this.worker || !this.isCapacityKnown || this.leftAt !== undefined || this.hasRefusedConnection || this.unansweredPolls >= unansweredPollLimit) {
 			return 'absent';
 		}
 
@@ -263,14 +273,17 @@
 	 * newest reading; both in worker-clock milliseconds.
 	 */
 	grantLease(clock: number): number {
-		return this.mayHaveOrphans || this.orphanRuns.size > 0
-			? this.leases.withhold(clock)
-			: this.leases.grant(clock, new Set([...this.runs.values()].map(({request: {owner}}) => owner)));
+		if (this.mayHaveOrphans || this.orphanRuns.size > 0) {
+			return this.leases.withhold(clock);
+		}
+
+		const dates = [...this.runs.values()].map(({date = Number.NEGATIVE_INFINITY}) => date);
+		return dates.length === 0 ? 0 : this.leases.grant(clock, Math.min(...dates));
 	}
 
 	/** Whether an owner that waits for runs has not been heard of for so long that they must be stopped. `clock` is the worker's clock. */
 	isOverdue(owner: string, clock: number): boolean {
-		return this.leases.isOverdue(owner, clock) && [...this.runs.values()].some(({request, isAwaited, phase}) => request.owner === owner && isAwaited && phase !== 'stopping');
+		return this.confirmableRuns(owner).some(({date}) => date !== undefined && this.leases.isOverdue(date, clock));
 	}
 
 	/** Whether all leases have expired, so that nothing that was started can still run, once the worker's clock shows at least `clock`. */
@@ -322,26 +335,17 @@
 			}
 
 			case 'confirmed': {
-				// A date in the future is one of an earlier incarnation's clock.
-				if (event.date - event.clock <= requestMaxAgeMs) {
-					this.leases.setDate(event.owner, event.date);
-				}
-
+				this.handleConfirmation(event);
 				break;
 			}
 
 			case 'reported': {
-				this.handleReport(event.worker, now, actions);
-				break;
-			}
-
-			case 'restartReported': {
-				this.mayHaveRestarted = event.isOpen;
+				this.handleReport(event, now, actions);
 				break;
 			}
 
 			case 'left': {
-				this.handleLeave(event.incarnation);
+				this.handleLeave(event);
 				break;
 			}
 
@@ -360,6 +364,41 @@
 				break;
 			}
 
+			case 'restartReported':
+			case 'zone':
+			case 'stopping': {
+				this.setCondition(event);
+				break;
+			}
+		}
+
+		this.offerFreeCapacity(now, actions);
+		this.grantReservation(now);
+		return actions;
+	}
+
+	private handleConfirmation({owner, date, clock}: Event & {kind: 'confirmed'}): void {
+		// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
+		if (date - clock <= requestMaxAgeMs && clock - date <= this.leases.maxDateAgeMs) {
+			for (const active of this.confirmableRuns(owner)) {
+				active.date = date;
+			}
+		}
+	}
+
+	/** The runs whose callers the owner knows. One that is being stopped, or whose owner was lost, may have lost its caller, so its date stays. */
+	private confirmableRuns(owner: string): ActiveRun[] {
+		return [...this.runs.values()].filter(({request, isAwaited, phase}) => request.owner === owner && isAwaited && phase !== 'stopping');
+	}
+
+	/** Sets one of the conditions under which nothing starts. */
+	private setCondition(event: Event & {kind: 'restartReported' | 'zone' | 'stopping'}): void {
+		switch (event.kind) {
+			case 'restartReported': {
+				this.mayHaveRestarted = event.isOpen;
+				break;
+			}
+
 			case 'zone': {
 				this.isZoneOut = event.out;
 				break;
@@ -370,10 +409,6 @@
 				break;
 			}
 		}
-
-		this.offerFreeCapacity(now, actions);
-		this.grantReservation(now);
-		return actions;
 	}
 
 	/** Offers free capacity to the owners that requested some, the owner of the reservation first, then by due time, for one task each. */
@@ -481,18 +516,17 @@
 			this.endReservationOf(request.owner, now);
 		}
 
-		this.leases.setDate(request.owner, request.sentAt);
 		const run = {task: request.task, number: (this.runNumbers.get(request.task) ?? 0) + 1};
 		this.rememberNumber(run);
 		this.runs.set(request.task, {
-			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, born: this.worker!.born, isAwaited: true,
+			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, date: request.sentAt, born: this.worker!.born, isAwaited: true,
 		});
 		actions.push({kind: 'start', run, request});
 	}
 
 	private refusalFor(request: RunRequest, clock: number, now: number): StartRefusal | undefined {
 		// A request that seems to come from the future is dated by the clock of an earlier incarnation of the worker, so that its age is not known.
-		if (Math.abs(clock - request.sentAt) > requestMaxAgeMs || !this.leases.allowRun(request.sentAt)) {
+		if (Math.abs(clock - request.sentAt) > requestMaxAgeMs || !this.leases.allowRun(request.sentAt, clock)) {
 			return 'stale';
 		}
 
@@ -503,7 +537,7 @@
 		return this.hasCapacityFor(request.owner, request.resources, now) && this.respectsReservation(request, now) ? undefined : 'room';
 	}
 
-	private handleReport(worker: Worker, now: number, actions: Action[]): void {
+	private handleReport({worker, clock = 0}: Event & {kind: 'reported'}, now: number, actions: Action[]): void {
 		const previous = this.worker;
 		if (previous && worker.born < previous.born) {
 			return;
@@ -521,16 +555,19 @@
 		}
 
 		this.worker = worker.born === previous?.born && previous.draining ? {...worker, draining: true} : worker;
+		if (worker.born !== previous?.born || clock > (this.leftAt ?? clock)) {
+			this.leftAt = undefined;
+		}
+
 		if (worker.born !== previous?.born) {
-			this.hasLeft = false;
 			this.hasCrashed = false;
 			this.workerAnswered();
 		}
 	}
 
-	private handleLeave(incarnation: string): void {
+	private handleLeave({incarnation, clock = Number.POSITIVE_INFINITY}: Event & {kind: 'left'}): void {
 		if (this.worker?.incarnation === incarnation) {
-			this.hasLeft = true;
+			this.leftAt = clock;
 		}
 	}
 
@@ -541,6 +578,9 @@
 		this.orphanRuns.clear();
 		this.mayHaveOrphans = true;
 		this.leases.restart();
+		for (const active of this.runs.values()) {
+			active.date = undefined;
+		}
 	}
 
 	/**
@@ -574,7 +614,7 @@
 		];
 		// A worker that has just started may not listen yet.
 		const mayBeStarting = sign === 'connection' && tasks.length === 0;
-		if (!worker || worker.draining || this.hasLeft || this.hasCrashed || mayBeStarting) {
+		if (!worker || worker.draining || this.leftAt !== undefined || this.hasCrashed || mayBeStarting) {
 			return;
 		}
 
@@ -678,29 +718,34 @@
 					this.recordCrash('reply', this.runsOrderedBy(sentAt), actions);
 					this.handleRestart();
 					this.reviewRuns(false, now, actions);
-					this.hasLeft = true;
+					this.leftAt = Number.POSITIVE_INFINITY;
+				} else if (isPollUnanswered(result)) {
+					this.handleUnansweredPoll(clock, now, actions);
 				}
 
 				break;
 			}
 
 			case 'unknown': {
-				this.unansweredPolls++;
 				if (result.absent) {
 					this.hasRefusedConnection = true;
 					this.recordCrash('connection', this.runsOrderedBy(sentAt), actions);
 					this.endRunsSettledBy(sentAt, now, actions);
 				}
 
-				if (clock !== undefined && this.leases.haveExpired(clock)) {
-					this.endAllRuns(now, actions);
-				}
-
+				this.handleUnansweredPoll(clock, now, actions);
 				break;
 			}
 		}
 	}
 
+	private handleUnansweredPoll(clock: number | undefined, now: number, actions: Action[]): void {
+		this.unansweredPolls++;
+		if (clock !== undefined && this.leases.haveExpired(clock)) {
+			this.endAllRuns(now, actions);
+		}
+	}
+
 	/** The runs that were ordered before a poll was sent, so that its result can tell of them. */
 	private runsOrderedBy(sentAt: number): ActiveRun[] {
 		return [...this.runs.values()].filter(({orderedAt}) => orderedAt <= sentAt);
@@ -725,7 +770,7 @@
 			this.recordCrash('born', this.runsOrderedBy(sentAt).filter(active => !isListed(active)), actions);
 			this.handleRestart();
 			this.hasCrashed = false;
-			this.hasLeft = false;
+			this.leftAt = undefined;
 			this.isCapacityKnown = false;
 			this.worker = {...this.worker, born: result.born, draining: false};
 		}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -1,15 +1,15 @@
 import type {Logger} from 'pino';
 import {
-	Guard, type Action, type RunRequest, type Event, type Worker,
+	Guard, isPollUnanswered, type Action, type RunRequest, type Event, type Worker,
 } from '../decide/guard.js';
 import {defaultLeaseBounds, type LeaseBounds} from '../decide/leases.js';
 import {subsetSize} from '../decide/announce.js';
 import {isExpectedTime} from '../decide/look-ahead.js';
-import {ReportCheck, type ReportEvent} from '../decide/report-check.js';
+import {ReportCheck, type Report, type ReportEvent} from '../decide/report-check.js';
 import {nextFence} from '../decide/fence.js';
 import {WorkerClock} from '../decide/worker-clock.js';
 import {rankByRendezvous} from '../decide/rendezvous.js';
-import {isSameSize} from '../decide/resources.js';
+import {areAmounts, isSameSize} from '../decide/resources.js';
 import type {Clock} from '../ports/clock.js';
 import type {
 	Executor, PollResult, Reply, RunId,
@@ -22,7 +22,7 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, isMessageToSidecar, maxCrashedTasks, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {HeldTexts, textLimitBytes} from './spec-texts.js';
 
@@ -41,8 +41,8 @@
 
 export type DriverDependencies = {clock: Clock; executor: Executor; log: Logger; metrics: DriverMetrics};
 
-/** How long a poll may wait for a run to end, in milliseconds: a third of a lease, so that a lease survives two lost replies. */
-const pollWaitMs = 300;
+/** How long a poll may wait for a run to end, in milliseconds: with it a lease of 757 ms survives two lost polls. */
+const pollWaitMs = 200;
 /** The same for `afterLossForMs` after a poll was lost, so that another loss delays the report of an end only briefly. */
 const pollWaitAfterLossMs = 40;
 const afterLossForMs = 8000;
@@ -95,6 +95,8 @@
 	private readonly withdrawnSince = new Map<Link, number>();
 	/** How old the last start was on a link that dates only starts, in milliseconds. */
 	private readonly undatedLags = new WeakMap<Link, number>();
+	/** The date that a link's callers were last confirmed with: the starts of a block have the same. */
+	private readonly confirmedDates = new WeakMap<Link, number>();
 	private readonly linksWithIgnoredFigures = new WeakSet<Link>();
 	private readonly reports = ReportCheck.create();
 	/** The start of the newest incarnation of the worker that has reported. A poll may have shown a newer one. */
@@ -169,7 +171,7 @@
 	/** Handles the orderly end of an incarnation of the worker. */
 	workerLeft(life: string): void {
 		this.log.info({event: 'worker-left', life}, 'worker left');
-		this.apply({kind: 'left', incarnation: life});
+		this.apply({kind: 'left', incarnation: life, clock: this.workerClock()});
 	}
 
 	/** Accepts no more requests, and resolves once all runs have ended or `withinMs` has passed. */
@@ -192,23 +194,17 @@
 			return;
 		}
 
+		if (isMessageToSidecar(message)) {
+			this.handleRequest(message, link);
+			return;
+		}
+
 		switch (message.kind) {
 			case 'hello': {
 				this.handleHello(link);
 				break;
 			}
 
-			case 'start':
-			case 'callers':
-			case 'spec':
-			case 'forget':
-			case 'stop':
-			case 'want':
-			case 'zones': {
-				this.handleRequest(message, link);
-				break;
-			}
-
 			case 'entries': {
 				this.addAddresses(message.addresses);
 				break;
@@ -306,7 +302,7 @@
 		for (const action of this.reports.step(event, this.clock.mono())) {
 			switch (action.kind) {
 				case 'accept': {
-					this.acceptReport(action.report.worker, action.clock);
+					this.acceptReport(action.report, action.clock);
 					break;
 				}
 
@@ -363,7 +359,8 @@
 		}
 	}
 
-	private acceptReport(worker: Worker, clock: number): void {
+	/** `clock` is the worker's clock now. */
+	private acceptReport({worker, clock: reportedAt}: Report, clock: number): void {
 		const before = this.guard.worker;
 		if (before && worker.born < before.born) {
 			return;
@@ -379,7 +376,7 @@
 			this.clockOfWorker.readDelayed(clock, this.clock.mono());
 		}
 
-		this.apply({kind: 'reported', worker});
+		this.apply({kind: 'reported', worker, clock: reportedAt});
 		const leaveMoved = this.updateLeave(worker, newer);
 		const resized = before !== undefined && !isSameSize(before.capacity, this.guard.worker!.capacity);
 		if (newer || leaveMoved || resized || before?.draining !== worker.draining) {
@@ -403,6 +400,8 @@
 		const owner = ownerOf(link);
 		this.owners.get(owner)?.close();
 		this.owners.set(owner, link);
+		// The entry takes the newer of two links too: if both addresses were dialled in turn, each new link would end the runs of the one before.
+		this.book.reached(link, owner);
 		this.log.info({event: 'entry-linked', entry: link.peer!.node}, 'linked to an entry');
 		this.dropOldCrashes();
 		for (const crash of this.crashes) {
@@ -415,12 +414,20 @@
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
-				this.handleStart(message, link);
+				this.confirmCallers(link, this.clockOfWorker.clockOf(message.stamp + message.age));
+				if (areAmounts(message.room)) {
+					this.handleStart(message, link);
+				} else {
+					this.figureIgnored('room', message.room, link);
+					this.meters.refusedRequests.inc({why: 'invalid'});
+					link.send({kind: 'refused', ref: message.ref, why: 'invalid'});
+				}
+
 				break;
 			}
 
 			case 'callers': {
-				this.confirmCallers(link, message.stamp + message.age);
+				this.confirmCallers(link, this.clockOfWorker.clockOf(message.stamp + message.age));
 				break;
 			}
 
@@ -442,6 +449,11 @@
 			}
 
 			case 'want': {
+				if (!areAmounts(message.room)) {
+					this.figureIgnored('room', message.room, link);
+					break;
+				}
+
 				this.apply({
 					kind: 'want', owner: ownerOf(link), resources: message.room, dueMs: message.dueMs, reserve: message.reserve,
 				});
@@ -469,7 +481,7 @@
 		}
 
 		const request: RunRequest = {
-			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: stamp + age, expectedMs: this.checkExpectedMs(expectedMs, link),
+			owner: ownerOf(link), ref, task, resources, spec, route, sentAt: this.clockOfWorker.clockOf(stamp + age), expectedMs: this.checkExpectedMs(expectedMs, link),
 		};
 		const clock = this.clockOfWorker.latestAt(this.clock.mono());
 		if (!link.speaks('callers')) {
@@ -479,7 +491,13 @@
 		this.apply({kind: 'request', request, clock});
 	}
 
+	/** `date` is in worker-clock milliseconds. */
 	private confirmCallers(link: Link, date: number): void {
+		if (date === this.confirmedDates.get(link)) {
+			return;
+		}
+
+		this.confirmedDates.set(link, date);
 		this.apply({
 			kind: 'confirmed', owner: ownerOf(link), date, clock: this.clockOfWorker.latestAt(this.clock.mono()),
 		});
@@ -516,21 +534,25 @@
 		return {...(releases.length > 0 && {releases}), ...(reserved && {reserved})};
 	}
 
-	/** Returns the expected time of a start unless it is out of range: such is ignored, counted, and logged once for each link. */
+	/** Returns the expected time of a start unless it is out of range: such is ignored. */
 	private checkExpectedMs(expectedMs: number | undefined, link: Link): number | undefined {
 		if (expectedMs === undefined || isExpectedTime(expectedMs)) {
 			return expectedMs;
 		}
 
+		this.figureIgnored('expectedMs', expectedMs, link);
+		return undefined;
+	}
+
+	/** Counts a figure that is out of range. The first one of a link is logged. */
+	private figureIgnored(field: string, value: unknown, link: Link): void {
 		this.meters.ignoredFigures.inc({from: 'entry'});
 		if (!this.linksWithIgnoredFigures.has(link)) {
 			this.linksWithIgnoredFigures.add(link);
 			this.log.warn({
-				event: 'figure-ignored', entry: link.peer?.node, field: 'expectedMs', value: expectedMs,
-			}, 'figure of an entry\'s start ignored');
+				event: 'figure-ignored', entry: link.peer?.node, field, value,
+			}, 'figure of an entry ignored');
 		}
-
-		return undefined;
 	}
 
 	private updateZones(asOf: number, out: readonly string[]): void {
@@ -723,6 +745,8 @@
 
 		this.updateFromReply(result);
 		if (result.kind === 'seen' && worker && result.born > worker.born) {
+			// An order to the earlier incarnation that is still under way must not be carried out by this one.
+			this.fence = nextFence(this.fence, result.clock, 0);
 			this.log.warn({event: 'worker-restarted', life: worker.incarnation, born: result.born}, 'worker restarted');
 			this.clockOfWorker.restart(result.clock, this.clock.mono());
 		}
@@ -742,17 +766,19 @@
 			return;
 		}
 
-		if (result.kind === 'unknown') {
+		if (isPollUnanswered(result)) {
+			const cause = result.kind === 'unknown' ? result.cause : result.reason;
+			const isAbsent = result.kind === 'unknown' && result.absent;
 			this.unansweredPolls++;
 			this.lostAt = this.clock.mono();
 			this.meters.unansweredPolls.inc();
 			this.log.info({
-				event: 'look', cause: result.cause, tookMs: Math.round(this.clock.mono() - sentAt), runs,
+				event: 'look', cause, tookMs: Math.round(this.clock.mono() - sentAt), runs,
 			}, 'poll not answered');
-			if (result.absent || haveExpired) {
+			if (isAbsent || haveExpired) {
 				this.log.warn({
-					event: 'worker-lost', cause: result.cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
-				}, result.absent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
+					event: 'worker-lost', cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
+				}, isAbsent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
 			}
 		}
 
@@ -796,8 +822,8 @@
 
 	/** The worker's clock as a stamp. Rounded down, it is shorter as MessagePack and dates starts earlier at most, which is the safe error. */
 	private stampFor(link: Link): number {
-		const clock = this.workerClock();
-		return link.speaks('msgpack') ? Math.floor(clock) : clock;
+		const stamp = this.clockOfWorker.stampAt(this.clock.mono());
+		return link.speaks('msgpack') ? Math.floor(stamp) : stamp;
 	}
 
 	private reportToAll(): void {
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -41,6 +41,7 @@
 const leasesExpired: Event = {
 	kind: 'polled', result: unknown, sentAt: 0, clock: 1200,
 };
+const refusedAsUnwell: Event = {kind: 'polled', result: {kind: 'refused', reason: 'unwell'}, sentAt: 0};
 /** Nothing listens at the worker's address. */
 const refusedConnection = {kind: 'unknown', cause: 'ECONNREFUSED', absent: true} as const;
 const refusedPoll: Event = {kind: 'polled', result: refusedConnection, sentAt: 0};
@@ -87,6 +88,12 @@
 	['nothing starts at a draining worker', [...ready, {kind: 'reported', worker: worker({draining: true})}, requested()], [refuse('draining')]],
 	['a late report does not end a drain', [...ready, {kind: 'reported', worker: worker({draining: true})}, reported, requested()], [refuse('draining')]],
 	['nothing starts at a worker that left', [...ready, {kind: 'left', incarnation: 'w1'}, requested()], [refuse('absent')]],
+	[
+		'tasks start at a worker that reports after a late leave notice of its name',
+		[...ready, {kind: 'left', incarnation: 'w1', clock: 500}, {...reported, clock: 501}, requested()],
+		[{kind: 'start', run: run(), request: request()}],
+	],
+	['a report made before a leave notice does not open the worker', [...ready, {kind: 'left', incarnation: 'w1', clock: 500}, {...reported, clock: 500}, requested()], [refuse('absent')]],
 	['a leave notice of an earlier incarnation changes nothing', [...ready, {kind: 'left', incarnation: 'w0'}, requested()], [{kind: 'start', run: run(), request: request()}]],
 	[
 		'a report of an earlier incarnation changes nothing',
@@ -129,6 +136,14 @@
 	['runs are lost when a poll shows a later start of the worker', [...ready, requested(), started(), polled({born: 2})], [crashed('born'), ended('lost', 0)]],
 	['runs are lost when another incarnation answers the poll', [...ready, requested(), started(), otherLife], [crashed('reply'), ended('lost', 0)]],
 	['all runs are lost when all leases have expired', [...ready, requested(), started(), leasesExpired], [ended('lost', 0)]],
+	[
+		'all runs are lost when all leases have expired at a worker that refuses polls',
+		[...ready, requested(), started(), {
+			kind: 'polled', result: {kind: 'refused', reason: 'unwell'}, sentAt: 0, clock: 1200,
+		}],
+		[ended('lost', 0)],
+	],
+	['nothing starts at a worker after three polls that it refused', [...ready, refusedAsUnwell, refusedAsUnwell, refusedAsUnwell, requested()], [refuse('absent')]],
 	['nothing starts at a worker after three unanswered polls', [...ready, unansweredPoll, unansweredPoll, unansweredPoll, requested()], [refuse('absent')]],
 	['free capacity is offered to the owner that requested it', [...ready, want('e2')], [offer('e2')]],
 	['capacity in use is not offered', [...ready, requested({resources: cpuOnly(7)}), want('e2')], []],
