--- a/src/decide/schedule/lost-runs.ts
+++ b/src/decide/schedule/lost-runs.ts
@@ -4,6 +4,7 @@
  * The longest that a run can last after the link to its place was lost, in milliseconds. It is the sum of the age
  * at which a sidecar still accepts a request (600), the silence after which it gives up an entry (700), its interval
  * of checking that (100), a worker's lease by a clock that is 2% slow (1020) and the time of a stop (50), rounded up.
+ * Dated leases end runs sooner (`src/decide/leases.ts`), but not at a sidecar of an earlier version.
  */
 export const maxRunAfterLinkLossMs = 2500;
 /** How long an ended job that may have run is remembered, in milliseconds: callers submit again after 1300, and go on for as long as they wait. */
