--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -726,7 +726,8 @@
 		const renews = sentAt - this.answeredAt < this.leases.longestMs;
 		const result = await this.executor.poll({
 			fence: this.fence,
-			leaseUntil: renews ? this.grantLease() : undefined,
+			// A poll that extends no lease names none, as a worker may refuse one that has expired.
+			leaseUntil: (renews && this.grantLease()) || undefined,
 			seen: this.guard.lastEndSequence,
 			waitMs: this.waitMs(sentAt),
 			marginMs: Math.min(maxMarginMs, marginMs * (2 ** this.unansweredPolls)),
