--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -769,9 +769,9 @@
 	}
 
 	/**
-	 * Dates the messages that are about to be sent: by the starts among them, or by a message of its own while tasks are under way. Callers
-	 * may have left since the sockets were last read, and may have submitted their jobs elsewhere, so what an event loop that is late sends is as
-	 * old as that. The sidecar refuses a start that is too old, and lets no run live for long after its date.
+	 * Dates the starts that are about to be sent. While tasks are under way, a block of messages without a start gets a 'callers' message with the date.
+	 * Callers may have left since the sockets were last read, and may have submitted their jobs elsewhere, so the date of an event loop that is late is
+	 * that of its last reading. The sidecar refuses a start that is too old, and lets no run live for long after its date.
 	 */
 	private dateMessages({link, stamp, stampedAt, undatedStarts}: Sidecar): void {
 		const now = this.clock.mono();
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -13,11 +13,11 @@
 /** The rate of the slowest clock of a worker. */
 const rate = 0.98;
 const heartbeatMs = 150;
-const expected = {capacity: {cpu: 10, memoryMb: 100, accelerators: 0}, task: {cpu: 1, memoryMb: 1, accelerators: 0}};
+const sizes = {worker: {cpu: 10, memoryMb: 100, accelerators: 0}, task: {cpu: 1, memoryMb: 1, accelerators: 0}};
 
 const reported: Event & {kind: 'reported'} = {
 	kind: 'reported', worker: {
-		incarnation: 'w', born: 1, pool: 'p', capacity: expected.capacity, labels: [], draining: false,
+		incarnation: 'w', born: 1, pool: 'p', capacity: sizes.worker, labels: [], draining: false,
 	},
 };
 const polled = (clock: number, running: RunId[] = []): Event => ({
@@ -27,7 +27,7 @@
 });
 const requested = (owner: string, clock: number, sentAt = clock): Event => ({
 	kind: 'request', clock, request: {
-		owner, ref: 1, task: `${owner}-${clock}`, resources: expected.task, spec: '', sentAt,
+		owner, ref: 1, task: `${owner}-${clock}`, resources: sizes.task, spec: '', sentAt,
 	},
 });
 const stopRequested = (owner: string): Event => ({
@@ -149,7 +149,7 @@
 });
 
 /** A worker that notes the end of its lease, and an entry that sends what a test tells it to. */
-type Line = {
+type Setup = {
 	driver: Driver;
 	runs: RunId[];
 	/** How many links the sidecar has opened. */
@@ -165,7 +165,7 @@
 	losePolls(count: number): void;
 };
 
-async function openLine(t: ExecutionContext, announced: readonly string[]): Promise<Line> {
+async function openSidecar(t: ExecutionContext, announced: readonly string[]): Promise<Setup> {
 	const from = systemClock.mono();
 	const clock = () => Math.floor(systemClock.mono() - from);
 	let leaseUntil = 0;
@@ -252,86 +252,86 @@
 	['that dates its starts only', []],
 ] as Array<[string, string[]]>) {
 	test(`leases: no lease outlives an entry ${title} by more than its callers' pause`, async t => {
-		const line = await openLine(t, announced);
-		const stopBeating = line.startBeating();
-		line.send({
-			kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+		const setup = await openSidecar(t, announced);
+		const stopBeating = setup.startBeating();
+		setup.send({
+			kind: 'start', ref: 1, task: 't', room: sizes.task, spec: 'x', stamp: setup.clock(), age: 0,
 		});
 		await systemClock.sleep(1500);
-		t.deepEqual([line.links(), line.driver.guard.runCount], [1, 1]);
+		t.deepEqual([setup.links(), setup.driver.guard.runCount], [1, 1]);
 		stopBeating();
-		const silentFrom = line.clock();
-		await waitUntil(() => line.driver.linkedEntries === 0);
+		const silentFrom = setup.clock();
+		await waitUntil(() => setup.driver.linkedEntries === 0);
 		await systemClock.sleep(500);
-		t.true(((line.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
+		t.true(((setup.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${setup.leaseUntil() - silentFrom} ms`);
 	});
 }
 
 test('leases: an order to an idle worker whose clock is slow is dated by its last report', async t => {
-	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
+	const setup = await openSidecar(t, features.filter(feature => feature !== 'msgpack'));
 	await systemClock.sleep(500);
 	const driftMs = 30;
-	line.driver.workerReported({
-		incarnation: 'w-s', born: 1, pool: 'p', capacity: expected.capacity, labels: [], draining: false,
-	}, line.clock() - driftMs);
-	line.send({
-		kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+	setup.driver.workerReported({
+		incarnation: 'w-s', born: 1, pool: 'p', capacity: sizes.worker, labels: [], draining: false,
+	}, setup.clock() - driftMs);
+	setup.send({
+		kind: 'start', ref: 1, task: 't', room: sizes.task, spec: 'x', stamp: setup.clock(), age: 0,
 	});
-	await waitUntil(() => line.runs.length === 1);
-	t.true(line.extensionMs() <= Leases.create(defaultLeaseBounds).renewalMs - driftMs, `${line.extensionMs()} ms`);
+	await waitUntil(() => setup.runs.length === 1);
+	t.true(setup.extensionMs() <= Leases.create(defaultLeaseBounds).renewalMs - driftMs, `${setup.extensionMs()} ms`);
 });
 
 test('leases: starts that are refused keep their entry\'s other runs', async t => {
-	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
-	line.send({
-		kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+	const setup = await openSidecar(t, features.filter(feature => feature !== 'msgpack'));
+	setup.send({
+		kind: 'start', ref: 1, task: 't', room: sizes.task, spec: 'x', stamp: setup.clock(), age: 0,
 	});
-	await waitUntil(() => line.runs.length === 1);
+	await waitUntil(() => setup.runs.length === 1);
 	let ref = 1;
-	const from = line.clock();
-	while (line.clock() - from < 1500) {
+	const from = setup.clock();
+	while (setup.clock() - from < 1500) {
 		ref++;
-		line.send({
-			kind: 'start', ref, task: `u${ref}`, room: {...expected.task, cpu: 1000}, spec: 'x', stamp: line.clock(), age: 0,
+		setup.send({
+			kind: 'start', ref, task: `u${ref}`, room: {...sizes.task, cpu: 1000}, spec: 'x', stamp: setup.clock(), age: 0,
 		});
 		await systemClock.sleep(heartbeatMs);
 	}
 
-	t.deepEqual([line.links(), line.driver.guard.runCount], [1, 1]);
+	t.deepEqual([setup.links(), setup.driver.guard.runCount], [1, 1]);
 });
 
 for (const count of [1, 2]) {
 	test(`leases: a lease survives ${count} polls that are lost on their way`, async t => {
-		const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
-		const stopBeating = line.startBeating();
-		line.send({
-			kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+		const setup = await openSidecar(t, features.filter(feature => feature !== 'msgpack'));
+		const stopBeating = setup.startBeating();
+		setup.send({
+			kind: 'start', ref: 1, task: 't', room: sizes.task, spec: 'x', stamp: setup.clock(), age: 0,
 		});
-		await waitUntil(() => line.runs.length === 1);
-		line.losePolls(0);
+		await waitUntil(() => setup.runs.length === 1);
+		setup.losePolls(0);
 		await systemClock.sleep(500);
-		line.losePolls(count);
+		setup.losePolls(count);
 		await systemClock.sleep(1500);
 		stopBeating();
-		t.false(line.hasLapsed());
+		t.false(setup.hasLapsed());
 	});
 }
 
 test('leases: messages that a sidecar reads late do not make their entry look alive', async t => {
-	const line = await openLine(t, features.filter(feature => feature !== 'msgpack'));
-	const stopBeating = line.startBeating();
-	line.send({
-		kind: 'start', ref: 1, task: 't', room: expected.task, spec: 'x', stamp: line.clock(), age: 0,
+	const setup = await openSidecar(t, features.filter(feature => feature !== 'msgpack'));
+	const stopBeating = setup.startBeating();
+	setup.send({
+		kind: 'start', ref: 1, task: 't', room: sizes.task, spec: 'x', stamp: setup.clock(), age: 0,
 	});
-	await waitUntil(() => line.runs.length === 1);
+	await waitUntil(() => setup.runs.length === 1);
 	stopBeating();
-	const silentFrom = line.clock();
+	const silentFrom = setup.clock();
 	const late = setInterval(() => {
-		line.send({kind: 'beat', needed: true});
-		line.send({kind: 'callers', stamp: silentFrom, age: 0});
+		setup.send({kind: 'beat', needed: true});
+		setup.send({kind: 'callers', stamp: silentFrom, age: 0});
 	}, heartbeatMs);
-	await waitUntil(() => line.driver.linkedEntries === 0);
+	await waitUntil(() => setup.driver.linkedEntries === 0);
 	clearInterval(late);
-	t.true(line.clock() - silentFrom + stopMs <= resubmitMs);
-	t.true(((line.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${line.leaseUntil() - silentFrom} ms`);
+	t.true(setup.clock() - silentFrom + stopMs <= resubmitMs);
+	t.true(((setup.leaseUntil() - silentFrom) / rate) + stopMs <= resubmitMs, `${setup.leaseUntil() - silentFrom} ms`);
 });
