--- a/review/standin/deployment.js
+++ b/review/standin/deployment.js
@@ -319,9 +319,9 @@
 		return {host: ip, port: ports.front};
 	}
 
-	/** Sends one request of a client on a channel of its own and resolves to its answer, or to `{status: 0}` if the channel broke. */
+	/** Sends one request of a client, on a channel of its own unless an agent keeps one, and resolves to its answer, or to `{status: 0}` if the channel broke. */
 	async call({host, port}, {
-		method, path: target, body, deadlineMs = 1500, label,
+		method, path: target, body, deadlineMs = 1500, label, agent = false,
 	}) {
 		const text = body === undefined ? '' : JSON.stringify(body);
 		this.record({
@@ -333,7 +333,7 @@
 				port,
 				method,
 				path: target,
-				agent: false,
+				agent,
 				headers: {
 					host: 'jobs.example',
 					'x-deadline-ms': String(deadlineMs),
