Review case 1: a wider margin for the change between the two pages

The store is slowed 60 times, the most that the site names, so that the change lies further from the second page.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -7,9 +7,9 @@
 /** Waves of upkeep that the operator has requested so far. */
 const waves = 600;
 /** How many times as long the store's answers take while it is slow. */
-const slowness = 50;
+const slowness = 60;
 /** How long after the first page was read the change is written, in milliseconds. */
-const changeMs = 200;
+const changeMs = 180;
 const body = {
 	spec: 'render plate 17', best_effort: true, steps: [{
 		count: 2, cpu: 1000, mem_mb: 64, estimate_ms: 100,
