Review case 5: a start left unanswered runs at a minion that has crashed and come back, while the task runs elsewhere

Cause: the sidecar that knows of the new boot sends no order with its raised fence until the pause between polls is over, up to 300 ms.

--- a/review/standin/deployment.js
+++ b/review/standin/deployment.js
@@ -105,6 +105,8 @@
 
 export class Deployment {
 	store = new Store();
+	/** Decides on a start that a minion is to leave unanswered. */
+	leavesUnanswered = undefined;
 	entries = [];
 	sides = [];
 	/** The time from the start, in milliseconds. */
@@ -187,6 +189,7 @@
 				heartbeatMs,
 				holdMaxMs: bounds.hold_max_ms,
 				workOf: task => this.#works.get(task.split('.')[0]),
+				leavesUnanswered: (minion, order) => this.leavesUnanswered?.(minion, order),
 				record: event => {
 					this.record(event);
 				},
--- a/review/standin/minion.js
+++ b/review/standin/minion.js
@@ -27,7 +27,7 @@
 
 	/**
 	 * `address` is where orders arrive, `control` where pings go; `workOf` returns a task's length in milliseconds
-	 * and its `cpu`; `record` takes what happens.
+	 * and its `cpu`; `record` takes what happens; `leavesUnanswered` decides on a start that gets no answer.
 	 */
 	constructor(options) {
 		this.#options = options;
@@ -91,6 +91,14 @@
 		this.#ping();
 	}
 
+	/** Carries out an order that was left unanswered, as far as the boot that is there now accepts it. */
+	carryOut(order) {
+		if ((order.fence ?? 0) >= this.#fence) {
+			this.#fence = order.fence ?? 0;
+			this.#start(order, () => {});
+		}
+	}
+
 	/** Ends at once, as in a crash: nobody is told. */
 	crash() {
 		clearInterval(this.#timer);
@@ -161,6 +169,10 @@
 		this.#fence = body.fence ?? 0;
 		switch (request.url) {
 			case '/sniperidge/run-start': {
+				if (this.#options.leavesUnanswered?.(this, body)) {
+					break;
+				}
+
 				this.#start(body, send);
 				break;
 			}
