--- /dev/null
+++ b/test/model-store.ts
@@ -0,0 +1,121 @@
+import {Buffer} from 'node:buffer';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {ExecutionContext} from 'ava';
+import type {TableAnswer, TableRequest, TableRow} from '../src/decide/table-copy.js';
+
+type Change = TableRow & {version: number};
+
+/** ModelStore is a table in a store that counts versions over all tables, keeps a history of changes, and answers in pages. */
+export class ModelStore {
+	static create(pageRows: number): ModelStore {
+		return new ModelStore(pageRows);
+	}
+
+	version = 1;
+	private readonly rows = new Map<string, string>();
+	private changes: Change[] = [];
+	/** The version up to which the history has been dropped. */
+	private droppedUntil = 0;
+
+	private constructor(private readonly pageRows: number) {}
+
+	/** Writes a row, or removes it where there is no value. */
+	write(key: string, value?: string): void {
+		this.version++;
+		if (value === undefined) {
+			this.rows.delete(key);
+		} else {
+			this.rows.set(key, value);
+		}
+
+		this.changes.push({
+			key, value: value ?? '', removed: value === undefined, version: this.version,
+		});
+	}
+
+	/** Counts a change of another table. */
+	writeElsewhere(): void {
+		this.version++;
+	}
+
+	dropHistory(): void {
+		this.droppedUntil = this.version;
+		this.changes = [];
+	}
+
+	/** The rows, as text. */
+	get text(): string {
+		return textOf(this.rows);
+	}
+
+	answer(request: TableRequest): TableAnswer {
+		const {version} = this;
+		switch (request.kind) {
+			case 'page': {
+				const keys = [...this.rows.keys()].filter(key => key >= request.from).toSorted();
+				const rows = keys.slice(0, this.pageRows).map(key => ({key, value: this.rows.get(key)!, removed: false}));
+				return {
+					kind: 'page', rows, version, hasMore: keys.length > this.pageRows,
+				};
+			}
+
+			case 'changes': {
+				return request.after < this.droppedUntil ? {kind: 'gone'} : {kind: 'changes', rows: this.changes.filter(change => change.version > request.after), version};
+			}
+		}
+	}
+}
+
+/** Returns rows as text, in the order of their keys. */
+export function textOf(rows: ReadonlyMap<string, string>): string {
+	return [...rows].toSorted(([a], [b]) => (a < b ? -1 : 1)).map(([key, value]) => `${key}=${value}`).join(' ');
+}
+
+/** Answered is called with each request that the store has answered, before the answer is sent; it returns whether the answer is lost. */
+type Answered = (request: TableRequest) => boolean;
+
+/** Serves a model store by the published protocol, until the test ends. Resolves to its address. */
+export async function serveStore(t: ExecutionContext, store: ModelStore, answered: Answered): Promise<string> {
+	const server = createServer((request, response) => {
+		request.resume();
+		const {pathname, searchParams} = new URL(request.url!, 'http://store');
+		const asked: TableRequest = pathname.endsWith('rows-get')
+			? {kind: 'page', from: searchParams.get('from')!}
+			: {kind: 'changes', after: Number(searchParams.get('after')), waits: searchParams.get('wait_ms') !== '0'};
+		const until = performance.now() + Number(searchParams.get('wait_ms') ?? 0);
+		const reply = (): void => {
+			const answer = store.answer(asked);
+			if (answer.kind === 'changes' && answer.rows.length === 0 && performance.now() < until) {
+				setTimeout(reply, 5);
+				return;
+			}
+
+			if (answered(asked)) {
+				response.destroy();
+				return;
+			}
+
+			if (answer.kind === 'gone') {
+				response.writeHead(410).end('{}');
+				return;
+			}
+
+			response.end(JSON.stringify({
+				ver: answer.version,
+				more_pages: answer.kind === 'page' && answer.hasMore,
+				rows: answer.rows.map(({key, value, removed}) => ({key, value: Buffer.from(value).toString('base64'), ...(removed && {tombstone: true})})),
+			}));
+		};
+
+		reply();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
