--- a/src/decide/table-copy.ts
+++ b/src/decide/table-copy.ts
@@ -52,7 +52,8 @@
 
 	/** The table as of one moment, if the copy is that. */
 	get snapshot(): Snapshot | undefined {
-		return this.state.kind === 'current' ? this.state : undefined;
+		const {state} = this;
+		return state.kind === 'current' ? {version: state.version, rows: state.rows} : undefined;
 	}
 
 	/** Returns the copy after the answer to its request, or the same copy if the answer is of an earlier moment than the copy needs. A copy whose changes are gone begins anew. */
