Entries: the exchange of desired states has a module of its own

No behaviour changes. Prepares the comparison of a state that this entry has read with one that another entry claims.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import type {Logger} from 'pino';
 import {
 	Schedule, type Action, type CrashNotice, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
@@ -16,9 +15,10 @@
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, isMessageToSidecar, maxNameLength, type SyncMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, isMessageToSidecar, maxNameLength, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
+import {StateExchange} from './state-exchange.js';
 
 /** The settings that an entry needs to dispatch jobs kept in memory. */
 export type DispatcherSettings = {
@@ -42,14 +42,6 @@
 const inputLagMs = 2 * tickMs;
 /** How often an entry without a link is dialled, in milliseconds. */
 const redialMs = 500;
-/**
- * How long an entry waits to get a newer desired state from the store before it requests it from an entry that
- * holds it, and the pause between such requests, in milliseconds. A state of thousands of routes occupies a slow
- * link for a tenth of a second, so it is sent on request only.
- */
-const fetchMs = 300;
-/** The largest factor by which that pause grows while the states received can't be used. */
-const maxFetchPauseFactor = 32;
 /** How long changes of the addresses of entries are collected before they are sent to sidecars, in milliseconds: at a start there is one change per entry. */
 const announceDelayMs = 100;
 
@@ -106,15 +98,13 @@
 
 	private readonly links: Links;
 	private readonly sidecars = new Map<string, Sidecar>();
-	/** Links to other entries, with the version of the desired state that each holds. */
-	private readonly entries = new Map<Link, number>();
 	private readonly book: AddressBook;
 	/** The sidecars that hold a job's text, by job. */
 	private readonly textHolders = new Map<string, Set<Sidecar>>();
 	private readonly waiters = new Map<string, Set<Waiter>>();
 	/** When to forget that an ended job may have run, by job id, in order of time. */
 	private readonly startedJobs = new Map<string, number>();
-	private desired = {asOf: 0, text: '', digest: ''};
+	private readonly states: StateExchange;
 	private out: readonly string[] = [];
 	/** When the timer for the next refusal fires; no job that has not begun is due to be refused before. */
 	private armedFor = Number.POSITIVE_INFINITY;
@@ -122,8 +112,6 @@
 	/** The addresses of entries that were last sent to sidecars. */
 	private announcedAddresses = '';
 	private announceTimer?: NodeJS.Timeout;
-	private fetchTimer?: NodeJS.Timeout;
-	private fetches = 0;
 	private readonly timer: NodeJS.Timeout;
 	private readonly loopDelay = LoopDelay.create(tickMs);
 	/** The time of the latest tick. When links are flushed, what had arrived on the sockets by then has been read, as the event loop reads them between its timers and its immediates. */
@@ -139,6 +127,13 @@
 		this.address = settings.address;
 		this.tickedAt = clock.mono();
 		this.links = Links.create(clock, this);
+		this.states = StateExchange.create({
+			log,
+			isStoreAnswering: () => this.isStoreAnswering?.() ?? false,
+			onReceived: (asOf, text) => {
+				this.onDesiredState?.(asOf, text);
+			},
+		});
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
 			clock, links: this.links, redialMs, ownAddress: () => this.address, onLinkOpened: link => {
@@ -199,22 +194,18 @@
 
 	/** The version of the desired state in force; 0 before there is one. */
 	get desiredAsOf(): number {
-		return this.desired.asOf;
+		return this.states.asOf;
 	}
 
 	/** Sets the desired state in force, which is passed on to entries as `text`, and the zones that are out of service. The same state must have the same text. */
 	setDesiredState(asOf: number, text: string, out: readonly string[]): void {
-		this.desired = {asOf, text, digest: createHash('sha256').update(text).digest('base64')};
-		this.fetches = 0;
 		this.out = out;
 		this.apply({kind: 'zones', out: new Set(out)});
 		for (const {link} of this.sidecars.values()) {
 			link.send({kind: 'zones', asOf, out});
 		}
 
-		for (const link of this.entries.keys()) {
-			link.send(this.newestState());
-		}
+		this.states.set(asOf, text);
 	}
 
 	/** Adds addresses of other entries. */
@@ -233,7 +224,7 @@
 		this.book.close();
 		clearTimeout(this.refusalTimer);
 		clearTimeout(this.announceTimer);
-		clearTimeout(this.fetchTimer);
+		this.states.close();
 		this.links.close();
 	}
 
@@ -266,12 +257,19 @@
 				break;
 			}
 
-			case 'entries':
+			case 'entries': {
+				if (link.peer?.role === 'entry') {
+					this.addAddresses(message.addresses);
+				}
+
+				break;
+			}
+
 			case 'newest':
 			case 'fetch':
 			case 'desired': {
 				if (link.peer?.role === 'entry') {
-					this.handleEntryMessage(message, link);
+					this.states.receive(message, link);
 				}
 
 				break;
@@ -293,7 +291,7 @@
 	}
 
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void {
-		this.entries.delete(link);
+		this.states.removeLink(link);
 		this.book.linkEnded(link);
 		const {peer} = link;
 		if (!peer && !problem) {
@@ -315,68 +313,6 @@
 		}
 	}
 
-	private handleEntryMessage(message: SyncMessage, link: Link): void {
-		switch (message.kind) {
-			case 'entries': {
-				this.addAddresses(message.addresses);
-				break;
-			}
-
-			case 'newest': {
-				this.entries.set(link, message.asOf);
-				if (message.digest === this.desired.digest) {
-					this.desired.asOf = Math.max(this.desired.asOf, message.asOf);
-				}
-
-				this.catchUp();
-				break;
-			}
-
-			case 'fetch': {
-				const {asOf, text} = this.desired;
-				link.send({kind: 'desired', asOf, text});
-				break;
-			}
-
-			case 'desired': {
-				if (message.asOf > this.desired.asOf) {
-					this.onDesiredState?.(message.asOf, message.text);
-				}
-
-				break;
-			}
-		}
-	}
-
-	/** Requests a newer desired state from the entries that hold one, one after the other, unless the store provides it first. */
-	private catchUp(): void {
-		const ahead = [...this.entries].filter(([, asOf]) => asOf > this.desired.asOf).map(([link]) => link);
-		if (ahead.length === 0 || this.fetchTimer) {
-			return;
-		}
-
-		const knowsNone = this.desired.asOf === 0 && this.fetches === 0;
-		const pauseMs = fetchMs * Math.min(maxFetchPauseFactor, 2 ** Math.max(0, this.fetches - 2));
-		this.fetchTimer = setTimeout(() => {
-			this.fetchTimer = undefined;
-			if (this.isStoreAnswering?.()) {
-				// A second copy of the state would share the link's bandwidth with the first and delay both.
-				this.catchUp();
-				return;
-			}
-
-			const link = ahead.filter(({isOpen}) => isOpen)[this.fetches++ % ahead.length];
-			if (link && this.entries.get(link)! > this.desired.asOf) {
-				this.log.info({
-					event: 'fetch', asOf: this.desired.asOf, newer: this.entries.get(link), from: link.peer?.node,
-				}, 'requesting the desired state from another entry');
-				link.send({kind: 'fetch'});
-			}
-
-			this.catchUp();
-		}, knowsNone && !this.isStoreAnswering?.() ? 0 : pauseMs);
-	}
-
 	/** `heldMs`: the time since its submission; `inputAgeMs`: how long the sockets had not been read then. */
 	private removeWaiter(job: string, answer: Waiter, times: {heldMs: number; inputAgeMs: number}): void {
 		const waiters = this.waiters.get(job);
@@ -416,7 +352,7 @@
 		this.sidecars.set(peer.node, {
 			link, stamp: 0, stampedAt: this.clock.mono(), texts: SentTexts.create(), undatedStarts: [], others: noResources,
 		});
-		link.send({kind: 'zones', asOf: this.desired.asOf, out: this.out});
+		link.send({kind: 'zones', asOf: this.states.asOf, out: this.out});
 		link.send({kind: 'entries', addresses: this.addresses()});
 	}
 
@@ -426,12 +362,8 @@
 		}
 
 		this.hello(link);
-		this.entries.set(link, 0);
 		link.send({kind: 'entries', addresses: this.addresses()});
-		if (this.desired.asOf > 0) {
-			link.send(this.newestState());
-		}
-
+		this.states.addLink(link);
 		this.announceAddresses();
 	}
 
@@ -789,11 +721,6 @@
 		undatedStarts.length = 0;
 	}
 
-	private newestState(): SyncMessage {
-		const {asOf, digest} = this.desired;
-		return {kind: 'newest', asOf, digest};
-	}
-
 	/** Sends a job's text to a sidecar that does not hold it. Returns its id, or `undefined` where the text must go with the start. */
 	private sendText(sidecar: Sidecar, job: Job): number | undefined {
 		const {link, texts} = sidecar;
