Entries: what an entry has read from the store goes before what others claim

Cause: states were compared by the store's version alone, which for a state of another entry is a claim. The own copy of the table was looked at only when it changed, and a version that the store never reaches shut it out for good.

Each answer of the store counts, also one without changes: at the version that another entry claimed the own copy goes first, an operator's higher number goes before any version, and a read that was requested 5 s after a claim and shows a lower version disproves it. A received state with a lower number is not taken. Where another entry announces another digest at a version that was read here, both read the table anew, once in 10 s at most. A wrong state is so repaired within an answer of the store, without a call more while nothing contradicts.

Ruled out: the operator's number alone as the order, since evacuations change the state without it; the row's version, since a removed row has none.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -2,6 +2,7 @@
 import {
 	Schedule, type Action, type CrashNotice, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
+import type {DesiredState} from '../decide/desired-state.js';
 import type {Departure} from '../decide/departure.js';
 import {areReleases} from '../decide/look-ahead.js';
 import {LoopDelay, type EntryLoad} from '../decide/overload.js';
@@ -70,6 +71,8 @@
  */
 type Sidecar = {link: Link; stamp: number; stampedAt: number; texts: SentTexts; undatedStarts: Start[]; others: Resources; hadBadFigure?: boolean};
 type Waiter = (verdict: Verdict) => void;
+/** ZonedState is a desired state with the zones that it puts out of service. */
+export type ZonedState = DesiredState & {out: readonly string[]};
 
 /**
  * Dispatcher is the entry's side of jobs kept in memory. It carries out its schedule's decisions, answers the
@@ -93,6 +96,9 @@
 	/** Called with the messages that were sent together on a link and the bytes that they took. */
 	onFlush?: (messages: readonly Message[], bytes: number) => void;
 
+	/** Called when this entry must read the desired state from the store anew, since another entry read another one at the same version. */
+	onContradiction?: () => void;
+
 	/** Returns whether an answer of the store is arriving, which may hold a newer desired state. */
 	isStoreAnswering?: () => boolean;
 
@@ -128,11 +134,16 @@
 		this.tickedAt = clock.mono();
 		this.links = Links.create(clock, this);
 		this.states = StateExchange.create({
+			clock,
 			log,
+			meters,
 			isStoreAnswering: () => this.isStoreAnswering?.() ?? false,
 			onReceived: (asOf, text) => {
 				this.onDesiredState?.(asOf, text);
 			},
+			onContradiction: () => {
+				this.onContradiction?.();
+			},
 		});
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
@@ -197,15 +208,35 @@
 		return this.states.asOf;
 	}
 
-	/** Sets the desired state in force, which is passed on to entries as `text`, and the zones that are out of service. The same state must have the same text. */
-	setDesiredState(asOf: number, text: string, out: readonly string[]): void {
+	/** Puts a desired state in force, which is passed on to entries as `text`, and the zones that are out of service. The same state must have the same text. */
+	setDesiredState(asOf: number, text: string, out: readonly string[], {number = 0, claimedAt}: {number?: number; claimedAt?: number} = {}): void {
 		this.out = out;
 		this.apply({kind: 'zones', out: new Set(out)});
 		for (const {link} of this.sidecars.values()) {
 			link.send({kind: 'zones', asOf, out});
 		}
 
-		this.states.set(asOf, text);
+		this.states.set({asOf, number, text}, claimedAt);
+	}
+
+	/** Takes in a desired state that the store showed to a request made at `askedAt`, in monotonic milliseconds. Returns whether it was put in force. */
+	takeRead(state: ZonedState, askedAt: number): boolean {
+		const isNew = this.states.takeRead(state, askedAt);
+		if (isNew) {
+			this.setDesiredState(state.asOf, state.text, state.out, state);
+		}
+
+		return isNew;
+	}
+
+	/** Takes in a desired state that another entry has sent. Returns whether it was put in force. */
+	takeReceived(state: ZonedState): boolean {
+		const isNew = this.states.takeReceived(state);
+		if (isNew) {
+			this.setDesiredState(state.asOf, state.text, state.out, {number: state.number, claimedAt: this.clock.mono()});
+		}
+
+		return isNew;
 	}
 
 	/** Adds addresses of other entries. */
--- a/src/ephemeral/metrics.ts
+++ b/src/ephemeral/metrics.ts
@@ -54,6 +54,7 @@
 	readonly linksLost = counter(this.registry, 'links_lost_total', 'Links to sidecars and entries that ended, by reason.', ['why']);
 	readonly malformedMessages = counter(this.registry, 'messages_malformed_total', 'Messages that were not of the agreed form, by who sent them.', ['from']);
 	readonly ignoredFigures = counter(this.registry, 'figures_ignored_total', 'Figures out of range that were left out of a report, by who sent it.', ['from']);
+	readonly stateContradictions = counter(this.registry, 'desired_contradictions_total', 'Desired states of other entries that contradicted what was known, by what showed it.', ['by']);
 	readonly storeCalls = counter(this.registry, 'store_calls_total', 'Calls to the platform\'s store by call and result.', ['call', 'result']);
 	readonly jobLatency = new Histogram({
 		name: 'sniperidge_job_seconds', help: 'Time from a job\'s arrival to its answer.', labelNames: ['route', 'verdict'], buckets, registers: [this.registry],
--- a/test/model-store.ts
+++ b/test/model-store.ts
@@ -39,6 +39,11 @@
 		this.version++;
 	}
 
+	/** Leaves the changes so far out of all feeds, which go on as if there had been none. */
+	hideChanges(): void {
+		this.changes = [];
+	}
+
 	dropHistory(): void {
 		this.droppedUntil = this.version;
 		this.changes = [];
@@ -75,7 +80,9 @@
 /** Answered is called with each request that the store has answered, before the answer is sent; it returns whether the answer is lost. */
 type Answered = (request: TableRequest) => boolean;
 
-/** Serves a model store by the published protocol, until the test ends. Resolves to its address. */
+const noRows = {rows: [], hasMore: false};
+
+/** Serves a model store as the operator's table by the published protocol, until the test ends; other tables are empty. Resolves to its address. */
 export async function serveStore(t: ExecutionContext, store: ModelStore, answered: Answered): Promise<string> {
 	const server = createServer((request, response) => {
 		request.resume();
@@ -83,15 +90,21 @@
 		const asked: TableRequest = pathname.endsWith('rows-get')
 			? {kind: 'page', from: searchParams.get('from')!}
 			: {kind: 'changes', after: Number(searchParams.get('after')), waits: searchParams.get('wait_ms') !== '0'};
+		const isOperator = searchParams.get('table') === 'op';
+		if (pathname.endsWith('rows-tx')) {
+			response.end(JSON.stringify({ver: store.version}));
+			return;
+		}
+
 		const until = performance.now() + Number(searchParams.get('wait_ms') ?? 0);
 		const reply = (): void => {
-			const answer = store.answer(asked);
+			const answer: TableAnswer = isOperator ? store.answer(asked) : {kind: asked.kind, version: store.version, ...noRows};
 			if (answer.kind === 'changes' && answer.rows.length === 0 && performance.now() < until) {
 				setTimeout(reply, 5);
 				return;
 			}
 
-			if (answered(asked)) {
+			if (isOperator && answered(asked)) {
 				response.destroy();
 				return;
 			}
--- a/test/odd-figures.test.ts
+++ b/test/odd-figures.test.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
-	createConnection, createServer, type AddressInfo, type Server, type Socket,
+	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
@@ -18,9 +18,11 @@
 	createExecutor, createJob, leaseMs, room, submit, waitUntil,
 } from './ephemeral-cluster.js';
 import {ModelWorker} from './model-worker.js';
+import {
+	hello, linkTo, Peer, type Message,
+} from './odd-peer.js';
 
 type Line = Record<string, unknown>;
-type Message = Record<string, unknown> & {kind: string};
 
 /** The longest line that a log may have about a message of a peer, in characters. */
 const maxLogLine = 10_000;
@@ -38,48 +40,6 @@
 	return {log, kept, find: event => kept.map(line => JSON.parse(line) as Line).filter(line => line.event === event)};
 }
 
-/** A peer that says what it is told to, in lines of JSON, and keeps what it hears. */
-class Peer {
-	readonly heard: Message[] = [];
-	private rest = '';
-
-	constructor(readonly socket: Socket, hello: Message) {
-		socket.on('error', () => undefined);
-		socket.on('data', (chunk: Uint8Array) => {
-			const lines = (this.rest + String(chunk)).split('\n');
-			this.rest = lines.pop()!;
-			this.heard.push(...lines.flatMap(line => JSON.parse(line) as Message[]));
-		});
-		this.say(hello);
-	}
-
-	say(...messages: Message[]): void {
-		this.socket.write(`${JSON.stringify(messages)}\n`);
-	}
-
-	/** The newest time stamp heard. */
-	get stamp(): number {
-		return this.heard.findLast(({kind}) => kind === 'room' || kind === 'place')!.stamp as number;
-	}
-
-	has(kind: string): boolean {
-		return this.heard.some(message => message.kind === kind);
-	}
-}
-
-const hello = (role: 'entry' | 'sidecar', more: Line = {}): Message => ({
-	kind: 'hello', role, node: 'odd', life: 'odd-1', ...more,
-});
-
-/** Opens a link to an entry. */
-async function linkTo(t: ExecutionContext, entry: Dispatcher, first: Message): Promise<Peer> {
-	const [host, port] = splitAddress(entry.address);
-	const socket = createConnection({host, port});
-	t.teardown(() => socket.destroy());
-	await once(socket, 'connect');
-	return new Peer(socket, first);
-}
-
 /** Opens an address that sidecars dial, as an entry does. */
 async function openOddEntry(t: ExecutionContext): Promise<{address: string; linked: Promise<Peer>}> {
 	const server: Server = createServer();
@@ -203,11 +163,11 @@
 				received.push(version);
 			};
 
-			const known = await linkTo(t, entry, hello('entry', {node: 'listener'}));
+			const known = await linkTo(t, entry.address, hello('entry', {node: 'listener'}));
 			entry.setDesiredState(5, '[]', []);
 			await waitUntil(() => known.has('newest'));
 			const {digest} = known.heard.find(({kind}) => kind === 'newest')!;
-			const peer = await linkTo(t, entry, hello('entry'));
+			const peer = await linkTo(t, entry.address, hello('entry'));
 			peer.say(kind === 'newest' ? {kind, asOf, digest} : {kind, asOf, text: '[]'});
 			await waitUntil(() => peer.socket.destroyed);
 			t.is(entry.desiredAsOf, 5);
@@ -222,7 +182,7 @@
 	test(`odd figures: a run that is said to have taken ${ranMs} ms does not keep the later jobs of its route waiting without end`, async t => {
 		const {log, find} = keepLines();
 		const {entry, meters} = await openEntry(t, log);
-		const peer = await linkTo(t, entry, hello('sidecar'));
+		const peer = await linkTo(t, entry.address, hello('sidecar'));
 		peer.say({
 			kind: 'place', report: {
 				zone: 'z', pool: 'p', room, others: {cpu: 0, memoryMb: 0, accelerators: 0}, isFailing: false,
@@ -281,7 +241,7 @@
 	test(`odd figures: a place with ${field} of ${JSON.stringify(value).slice(0, 30)} keeps its link, gets no work by it, and is told of in a short line`, async t => {
 		const {log, kept, find} = keepLines();
 		const {entry, meters} = await openEntry(t, log);
-		const peer = await linkTo(t, entry, hello('sidecar'));
+		const peer = await linkTo(t, entry.address, hello('sidecar'));
 		peer.say({
 			kind: 'place', report: {...report, [name]: value}, stamp: 1, clear: true,
 		});
@@ -300,7 +260,7 @@
 
 test('odd figures: a room of other entries that is negative leaves the one known before in force', async t => {
 	const {entry, meters} = await openEntry(t);
-	const peer = await linkTo(t, entry, hello('sidecar'));
+	const peer = await linkTo(t, entry.address, hello('sidecar'));
 	const full = {cpu: 10, memoryMb: 100, accelerators: 0};
 	peer.say({
 		kind: 'place', report: {...report, others: full}, stamp: 1, clear: true,
@@ -320,7 +280,7 @@
 	test(`odd figures: a hello with a ${title} of a megabyte costs its link, with a short line`, async t => {
 		const {log, kept, find} = keepLines();
 		const {entry} = await openEntry(t, log);
-		const peer = await linkTo(t, entry, hello('entry', more));
+		const peer = await linkTo(t, entry.address, hello('entry', more));
 		t.true(await comesTrue(() => peer.socket.destroyed));
 		t.regex(String(find('link-lost')[0]?.problem), new RegExp(`hello.${title}`, 'v'));
 		t.true(Math.max(...kept.map(line => line.length)) < maxLogLine);
@@ -353,7 +313,7 @@
 	test(`odd figures: a frame with ${title} costs its link, and the entry serves on`, async t => {
 		const {log, find} = keepLines();
 		const {entry} = await openEntry(t, log);
-		const peer = await linkTo(t, entry, hello('sidecar', {features: ['msgpack']}));
+		const peer = await linkTo(t, entry.address, hello('sidecar', {features: ['msgpack']}));
 		peer.say({kind: 'codec', name: 'msgpack'});
 		const prefix = Buffer.alloc(4);
 		prefix.writeUInt32BE(bytes.length);
--- a/test/slow-link.test.ts
+++ b/test/slow-link.test.ts
@@ -1,23 +1,17 @@
-import {spawn, type ChildProcess} from 'node:child_process';
 import {Buffer} from 'node:buffer';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import process from 'node:process';
-import {fileURLToPath} from 'node:url';
 import test, {type ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {systemClock} from '../src/adapters/clock.js';
 import {decodeDesired} from '../platform/desired.js';
+import {startEntry} from './entry-program.js';
 import {Proxy} from './proxy.js';
 
 /** The entry's link in the smallest deployments: 2 Mbit/s. */
 const linkBytesPerSecond = 250_000;
 const pollMs = 50;
 
-const program = fileURLToPath(new URL('../platform/entry.js', import.meta.url));
 const routesOf = (count: number) => Array.from({length: count}, (_, index) => ({
 	name: `route-${index}`,
 	host: `host-${index}.example`,
@@ -110,45 +104,6 @@
 	}
 }
 
-async function freePorts(count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => new Promise<number>(resolve => {
-		server.listen(0, '127.0.0.1', () => {
-			resolve((server.address() as AddressInfo).port);
-		});
-	})));
-	for (const server of servers) {
-		server.close();
-	}
-
-	return ports;
-}
-
-/** Starts the entry's program for the users' platform. Resolves to the port where it takes callers. */
-async function startEntry(t: ExecutionContext, store: string): Promise<number> {
-	const [front, ready, links] = await freePorts(3) as [number, number, number];
-	const folder = mkdtempSync(path.join(tmpdir(), 'entry-'));
-	const settings = path.join(folder, 'settings.json');
-	writeFileSync(settings, JSON.stringify({
-		node: 'entry-1',
-		ip: '127.0.0.1',
-		zone: 'z',
-		serves: ['edge'],
-		listen: {front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`},
-		port_range: [links, links],
-		bounds: {hold_max_ms: 1000, grace_s: 6},
-		platform: {addr: store},
-	}));
-	const child: ChildProcess = spawn(process.execPath, ['--input-type=module', '-e', `import(${JSON.stringify(program)}).then(({start}) => start(false))`], {
-		env: {...process.env, SNIPERIDGE_SETTINGS: settings}, stdio: 'ignore',
-	});
-	t.teardown(() => {
-		child.kill('SIGKILL');
-		rmSync(folder, {recursive: true});
-	});
-	return front;
-}
-
 /** Resolves when the entry serves a route: a job that nobody knows is answered 410 there, and 404 where the route is not in force. */
 async function waitForRoute(front: number, index: number): Promise<void> {
 	for (;;) {
@@ -175,7 +130,7 @@
 		proxy.bytesPerSecond = linkBytesPerSecond;
 		const large = desiredState(2, 4000);
 		store.set(before ? large : desiredState(1, 10));
-		const front = await startEntry(t, proxy.address);
+		const {front} = await startEntry(t, proxy.address);
 		if (!before) {
 			await waitForRoute(front, 9);
 			store.set(large);
