Sidecars: an entry can take back the zones that it told under a higher version

Cause: a sidecar takes the zones out of service of the highest version told. An entry that has told some under a version which the store never reached (a claim of another entry, disproved since) could not take them back: its zones of a lower version were ignored, and with them every evacuation until the store got there.

Change: the entry whose zones are in force may lower the version on the same link. Zones of other links are still taken only from the same version on.

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -113,7 +113,8 @@
 	/** The latest crashes of the worker, the oldest first. */
 	private crashes: Crash[] = [];
 	private wake = deferred<void>();
-	private zones: {asOf: number; out: readonly string[]} = {asOf: 0, out: []};
+	/** The zones out of service as the entry of a link told them, at a version of the store. */
+	private zones: {asOf: number; out: readonly string[]; link?: Link} = {asOf: 0, out: []};
 	private closed = false;
 
 	private readonly leases: LeaseBounds;
@@ -461,7 +462,7 @@
 			}
 
 			case 'zones': {
-				this.updateZones(message.asOf, message.out);
+				this.updateZones(message, link);
 				break;
 			}
 		}
@@ -555,13 +556,14 @@
 		}
 	}
 
-	private updateZones(asOf: number, out: readonly string[]): void {
-		if (asOf < this.zones.asOf) {
+	/** Takes the zones of the highest version told. An entry whose version goes down takes back what it told before. */
+	private updateZones({asOf, out}: MessageToSidecar & {kind: 'zones'}, link: Link): void {
+		if (asOf < this.zones.asOf && link !== this.zones.link) {
 			return;
 		}
 
 		const before = this.zones.out.includes(this.settings.zone);
-		this.zones = {asOf, out};
+		this.zones = {asOf, out, link};
 		const after = out.includes(this.settings.zone);
 		if (after !== before) {
 			this.log.info({
--- a/test/contradictions.test.ts
+++ b/test/contradictions.test.ts
@@ -6,9 +6,15 @@
 	noState, relateAnnounced, relateRead, relateReceived, type StateInForce,
 } from '../src/decide/desired-state.js';
 import {encodeRows} from '../platform/desired.js';
+import {
+	createExecutor, leaseMs, room, startDriver, waitUntil,
+} from './ephemeral-cluster.js';
 import {startEntry} from './entry-program.js';
 import {ModelStore, serveStore} from './model-store.js';
-import {hello, linkTo, type Peer} from './odd-peer.js';
+import {ModelWorker} from './model-worker.js';
+import {
+	hello, linkTo, openOddEntry, type Message, type Peer,
+} from './odd-peer.js';
 
 const read: StateInForce = {
 	asOf: 20, number: 7, text: 'S', since: 10,
@@ -210,3 +216,28 @@
 	t.is(listings(), 2);
 	t.is(await statusOf(scene.front, 'new'), 410);
 });
+
+const zones = (asOf: number, ...out: string[]): Message => ({kind: 'zones', asOf, out});
+for (const [title, told, isOut] of [
+	['the entry that told them takes them back', [[0, zones(900, 'z')], [0, zones(20)]], false],
+	['another entry is behind', [[0, zones(900, 'z')], [1, zones(20)]], true],
+	['another entry is ahead', [[0, zones(20, 'z')], [1, zones(900)]], false],
+	['two entries told them, and both take them back', [[0, zones(900, 'z')], [1, zones(900, 'z')], [0, zones(20)], [1, zones(20)]], false],
+] satisfies Array<[string, Array<[number, Message]>, boolean]>) {
+	// Guards against zones that an entry told under a version that the store never reached: a sidecar took nothing else any more.
+	test(`contradictions: a sidecar's zones out of service, where ${title}`, async t => {
+		const entries = await Promise.all(['e0', 'e1'].map(async node => openOddEntry(t, node)));
+		const driver = startDriver(t, 's', {
+			seeds: entries.map(({address}) => address),
+			executor: createExecutor(ModelWorker.create(room, leaseMs), {resources: room, durationMs: 1, ending: 'done'}),
+		});
+		const peers = await Promise.all(entries.map(async ({linked}) => linked));
+		await waitUntil(() => driver.linkedEntries === 2 && driver.guard.startRefusal === undefined);
+		for (const [index, message] of told) {
+			peers[index]!.say(message);
+			await sleep(100);
+		}
+
+		t.is(driver.guard.startRefusal, isOut ? 'zone-out' : undefined);
+	});
+}
--- a/test/odd-figures.test.ts
+++ b/test/odd-figures.test.ts
@@ -1,9 +1,5 @@
 // Guards against a single odd figure of a peer that shuts out the right ones after it, ends links again and again, or ends the process.
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
-import {
-	createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
 import process from 'node:process';
 import test, {type ExecutionContext} from 'ava';
 import {pino} from 'pino';
@@ -19,7 +15,7 @@
 } from './ephemeral-cluster.js';
 import {ModelWorker} from './model-worker.js';
 import {
-	hello, linkTo, Peer, type Message,
+	hello, linkTo, openOddEntry, type Message,
 } from './odd-peer.js';
 
 type Line = Record<string, unknown>;
@@ -40,21 +36,6 @@
 	return {log, kept, find: event => kept.map(line => JSON.parse(line) as Line).filter(line => line.event === event)};
 }
 
-/** Opens an address that sidecars dial, as an entry does. */
-async function openOddEntry(t: ExecutionContext): Promise<{address: string; linked: Promise<Peer>}> {
-	const server: Server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => server.close());
-	const linked = (async () => {
-		const [socket] = await once(server, 'connection') as [Socket];
-		t.teardown(() => socket.destroy());
-		server.close();
-		return new Peer(socket, hello('entry'));
-	})();
-	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, linked};
-}
-
 async function openEntry(t: ExecutionContext, log = pino({level: 'silent'})): Promise<{entry: Dispatcher; meters: DispatcherMetrics}> {
 	const meters = DispatcherMetrics.create();
 	const entry = await Dispatcher.create({
--- a/test/odd-peer.ts
+++ b/test/odd-peer.ts
@@ -1,5 +1,7 @@
 import {once} from 'node:events';
-import {createConnection, type Socket} from 'node:net';
+import {
+	createConnection, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import type {ExecutionContext} from 'ava';
 import {splitAddress} from '../src/ephemeral/link.js';
 
@@ -46,3 +48,18 @@
 	await once(socket, 'connect');
 	return new Peer(socket, first);
 }
+
+/** Opens an address that sidecars dial, as an entry does. */
+export async function openOddEntry(t: ExecutionContext, node = 'odd'): Promise<{address: string; linked: Promise<Peer>}> {
+	const server: Server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => server.close());
+	const linked = (async () => {
+		const [socket] = await once(server, 'connection') as [Socket];
+		t.teardown(() => socket.destroy());
+		server.close();
+		return new Peer(socket, hello('entry', {node, life: `${node}-1`}));
+	})();
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, linked};
+}
