Guard: a start without an answer outlasts the crash of its worker until the next incarnation has voided it

Its start was left unanswered and stopped; it was started again, its worker crashed and came back under its name, and carried out the first start, while the entry had been told that the task was lost and had started it elsewhere.

Cause: the end of an incarnation counted as the end of all its orders, since a later one has another name or the connections break with it.

Change: the guard remembers for 15 s which tasks have a start without an answer. At a crash, a refused connection or the end of all leases their runs are not told as lost; they are stopped at the next incarnation, whose list then shows that they are over. Other runs are told at once, as before, and so are all where the next incarnation has another name, since it refuses their orders by that. Where no incarnation comes back, they are told as lost after the 15 s.

Tests: nine rows of test/guard.test.ts, all failing on the code before.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -93,6 +93,8 @@
 const unansweredPollLimit = 3;
 /** How often a start that the worker refuses as `old` is retried with a higher run number. */
 const renumberLimit = 4;
+/** How long the worker's platform may still carry out a start that got no answer, in milliseconds: it does so up to 12 s later. */
+export const lateStartMs = 15_000;
 /** For how many tasks the highest run number is remembered. */
 const rememberedTaskLimit = 2000;
 
@@ -160,6 +162,8 @@
 	private readonly orphanRuns = new Map<string, RunId>();
 	/** The highest known run number of each task. */
 	private readonly runNumbers = new Map<string, number>();
+	/** When a start of a task last got no answer, by task in order of time. A later incarnation of the worker under the same name has not heard of the stops that voided it. */
+	private readonly unansweredStarts = new Map<string, number>();
 	/** Whether runs that an earlier incarnation of this process started may still be running. */
 	private mayHaveOrphans = true;
 	/** Whether a report of another incarnation waits for confirmation. */
@@ -593,14 +597,10 @@
 				continue;
 			}
 
-			if (!hasSameName) {
-				this.endRun(active, 'lost', now, actions);
-			} else if (active.phase === 'stopping') {
-				active.conclusiveFrom = undefined;
-				actions.push({kind: 'stop', run: active.run});
+			if (hasSameName) {
+				this.doubt(active, now, actions);
 			} else {
-				active.phase = 'unsettled';
-				active.conclusiveFrom = now;
+				this.endRun(active, 'lost', now, actions);
 			}
 		}
 	}
@@ -630,10 +630,46 @@
 		this.mayHaveOrphans = false;
 		this.orphanRuns.clear();
 		for (const active of this.runs.values()) {
+			this.endRunUnlessStartable(active, now, actions);
+		}
+	}
+
+	/** Ends a run as lost, unless a start of its task may still be carried out by an incarnation of the worker that is not known yet. Then it is voided there first. */
+	private endRunUnlessStartable(active: ActiveRun, now: number, actions: Action[]): void {
+		if (this.mayStillStart(active.run.task, now)) {
+			this.doubt(active, now, actions);
+		} else {
 			this.endRun(active, 'lost', now, actions);
 		}
 	}
 
+	/** Takes back what the worker's earlier incarnation has answered about a run: only polls sent from now on tell, and a stop has to be answered once more. */
+	private doubt(active: ActiveRun, now: number, actions: Action[]): void {
+		if (active.phase !== 'stopping') {
+			active.phase = 'unsettled';
+			active.conclusiveFrom = now;
+		} else if (active.conclusiveFrom !== undefined) {
+			active.conclusiveFrom = undefined;
+			actions.push({kind: 'stop', run: active.run});
+		}
+	}
+
+	private mayStillStart(task: string, now: number): boolean {
+		return now - (this.unansweredStarts.get(task) ?? Number.NEGATIVE_INFINITY) < lateStartMs;
+	}
+
+	private rememberUnansweredStart(task: string, now: number): void {
+		this.unansweredStarts.delete(task);
+		this.unansweredStarts.set(task, now);
+		for (const [oldest, at] of this.unansweredStarts) {
+			if (now - at < lateStartMs) {
+				break;
+			}
+
+			this.unansweredStarts.delete(oldest);
+		}
+	}
+
 	private handleStartReply(run: RunId, reply: Reply, now: number, actions: Action[]): void {
 		const active = this.findRun(run);
 		if (!active) {
@@ -657,7 +693,11 @@
 				if (reply.absent && !active.hasBegun) {
 					// Without a connection the order never reached the worker.
 					this.refuseRun(active, 'absent', actions);
-				} else if (active.phase === 'starting') {
+					break;
+				}
+
+				this.rememberUnansweredStart(run.task, now);
+				if (active.phase === 'starting') {
 					active.phase = 'unsettled';
 					active.conclusiveFrom = now;
 				}
@@ -757,7 +797,7 @@
 		this.orphanRuns.clear();
 		for (const active of this.runs.values()) {
 			if (active.settledAt !== undefined && active.settledAt <= sentAt) {
-				this.endRun(active, 'lost', now, actions);
+				this.endRunUnlessStartable(active, now, actions);
 			}
 		}
 	}
@@ -773,6 +813,11 @@
 			this.leftAt = undefined;
 			this.isCapacityKnown = false;
 			this.worker = {...this.worker, born: result.born, draining: false};
+			for (const active of this.runs.values()) {
+				if (active.settledAt !== undefined && this.mayStillStart(active.run.task, now)) {
+					this.doubt(active, now, actions);
+				}
+			}
 		}
 
 		for (const end of result.ended) {
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
-	requestMaxAgeMs, Guard, offerHoldMs, type Action, type RunRequest, type Event, type Worker,
+	requestMaxAgeMs, Guard, lateStartMs, offerHoldMs, type Action, type RunRequest, type Event, type Worker,
 } from '../src/decide/guard.js';
 import {nextFence} from '../src/decide/fence.js';
 import type {EndedRun, PollResult, Reply} from '../src/ports/executor.js';
@@ -239,6 +239,9 @@
 	kind: 'polled', result, sentAt: -1, clock: 700,
 });
 const rebornWorker: Event = {kind: 'reported', worker: worker({born: 2})};
+/** A start without an answer, and one that is stopped. */
+const lostAnswer: Event[] = [...ready, requested(), started(unknown)];
+const voided: Event[] = [...lostAnswer, polled(), stopped(), polled()];
 
 for (const [title, events, last] of [
 	['is not over because a poll sent before it got no answer', [...ready, requested(), started(), sentBefore(unknown)], []],
@@ -254,6 +257,14 @@
 		[...ready, requested(), started(unknown), rebornWorker, polled({born: 2}), stopped(), polled({born: 2})],
 		[ended('lost')],
 	],
+	['without an answer may still be carried out after nothing listened', [...lostAnswer, refusedPoll], [crashed('connection')]],
+	['without an answer may still be carried out after all leases have expired', [...ready, requested(), started(unknown), leasesExpired], []],
+	['that was voided before a later one was answered may still be carried out', [...voided, requested({ref: 2}), started(done, 2), refusedPoll], [crashed('connection')]],
+	['without an answer is over where a worker of another name reports', [...lostAnswer, refusedPoll, restarted], [ended('lost')]],
+	['without an answer is stopped at the next incarnation of its name', [...lostAnswer, refusedPoll, rebornWorker, polled({born: 2})], [stop]],
+	['without an answer is lost once that is shown not to run it', [...lostAnswer, refusedPoll, rebornWorker, polled({born: 2}), stopped(), polled({born: 2})], [ended('lost')]],
+	['without an answer goes on where the next incarnation runs it', [...lostAnswer, refusedPoll, polled({born: 2, running: [run()]}), polled({born: 2, ended: [end()]})], [ended('done')]],
+	['without an answer is stopped again where a poll shows the next incarnation of its name', [...ready, requested(), started(unknown), cancel, stopped(), polled({born: 2})], [crashed('born'), stop]],
 	['that is being stopped is stopped again at the next incarnation of its name', [...ready, requested(), started(), cancel, stopped(), rebornWorker], [crashed('report'), stop]],
 	['sent after a crash is not blamed for it', [...ready, requested(), started(), sentBefore({kind: 'refused', reason: 'other-life'})], [crashed('reply', []), ended('lost')]],
 ] as Array<[string, Event[], Array<Record<string, unknown>>]>) {
@@ -377,6 +388,18 @@
 
 const leaseMs = 1000;
 
+// Guards against a task that waits for ever for a worker that doesn't come back.
+test('guard: an order without an answer is lost once its time to be carried out is over', t => {
+	const guard = Guard.create();
+	for (const event of [...ready, requested(), started(unknown)]) {
+		guard.step(event, 0);
+	}
+
+	const at = (now: number) => guard.step({kind: 'polled', result: refusedConnection, sentAt: now}, now).filter(({kind}) => kind === 'end');
+	t.deepEqual([at(1), at(lateStartMs - 1)], [[], []]);
+	t.deepEqual(at(lateStartMs) as unknown[], [ended('lost', lateStartMs)]);
+});
+
 /** Runs a history of steps against the model worker, with a guard that is replaced when its sidecar restarts. */
 class Simulation {
 	static create(): Simulation {
