Sidecars: the first call that reaches a restarted worker bars the orders before it

Cause: a sidecar raised its fence when it knew of the worker's restart, and told the worker with its next order. The probe that confirms a report carried the old fence, and the pause between polls of an absent worker, up to 300 ms, was not cut short. An order without an answer that the worker carried out meanwhile began.

Change: the fence rises before a report of another incarnation is probed, and after a refused connection; a confirmed restart ends the pause. It costs no call. A start under way to a live worker, while a late report of another incarnation is probed, may now be refused by its fence and is placed again.

Tests: two rows of test/ephemeral.test.ts: the first call bars (target: one round trip); on the code before the old order is accepted for as long as the probe lasts, both fail.

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -113,6 +113,8 @@
 	/** The latest crashes of the worker, the oldest first. */
 	private crashes: Crash[] = [];
 	private wake = deferred<void>();
+	/** Ends the pause before the next poll. */
+	private pauseEnd = deferred<void>();
 	/** The zones out of service as the entry of a link told them, at a version of the store. */
 	private zones: {asOf: number; out: readonly string[]; link?: Link} = {asOf: 0, out: []};
 	private closed = false;
@@ -339,6 +341,10 @@
 			return;
 		}
 
+		if (this.reports.mayHaveRestarted) {
+			this.barEarlierOrders();
+		}
+
 		try {
 			const sentAt = this.clock.mono();
 			const result = await this.executor.poll({
@@ -372,6 +378,7 @@
 		if (newer) {
 			this.fence = nextFence(this.fence, clock, 0);
 			this.clockOfWorker.restart(clock, this.clock.mono());
+			this.pauseEnd.resolve();
 		} else {
 			// An idle worker isn't polled, and its clock may be slow.
 			this.clockOfWorker.readDelayed(clock, this.clock.mono());
@@ -781,16 +788,26 @@
 			if (isAbsent || haveExpired) {
 				this.log.warn({
 					event: 'worker-lost', cause, runs, orderedSince: this.guard.runCount, looks: this.unansweredPolls,
-				}, isAbsent ? 'worker refuses connections, its runs are over' : 'worker does not answer, all its leases have expired');
+				}, isAbsent ? 'worker refuses connections' : 'worker does not answer, all its leases have expired');
 			}
 		}
 
-		// After the first lost reply the worker is polled again at once. One that refuses or stays unreachable is polled less often.
+		if (result.kind === 'unknown' && result.absent) {
+			this.barEarlierOrders();
+		}
+
+		// After the first lost reply the worker is polled again at once. One that refuses or stays unreachable is polled less often, until a new incarnation is known.
 		if (this.unansweredPolls !== 1) {
-			await this.clock.sleep(retryPauseMs * Math.max(1, Math.min(this.unansweredPolls, maxPauseFactor)));
+			this.pauseEnd = deferred();
+			await Promise.race([this.clock.sleep(retryPauseMs * Math.max(1, Math.min(this.unansweredPolls, maxPauseFactor))), this.pauseEnd.promise]);
 		}
 	}
 
+	/** Raises the fence, so that the first call that reaches a new incarnation of the worker bars the orders sent to the one before, which may still be carried out. */
+	private barEarlierOrders(): void {
+		this.fence = nextFence(this.fence, 0, 0);
+	}
+
 	/** How long the next poll may wait for a run to end, in milliseconds. */
 	private waitMs(now: number): number {
 		if (this.guard.hasUnresolvedRuns) {
--- a/test/ephemeral.test.ts
+++ b/test/ephemeral.test.ts
@@ -3,7 +3,7 @@
 import {deferred} from '../src/deferred.js';
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
-import type {PollResult} from '../src/ports/executor.js';
+import type {StartOrder, PollResult} from '../src/ports/executor.js';
 import {
 	startDriver, createExecutor, createJob, leaseMs, silentLog, room, startCluster, submit, waitUntil,
 } from './ephemeral-cluster.js';
@@ -223,3 +223,43 @@
 	await systemClock.sleep(100);
 	t.is(driver.guard.lastEndSequence, 0);
 });
+
+for (const [title, isGone] of [['reports at once', false], ['has refused connections before', true]] as const) {
+	// Guards against a start that the worker left unanswered and carries out after a crash, while its task runs elsewhere.
+	test(`ephemeral: the first call that reaches a restarted worker that ${title} bars the orders before it`, async t => {
+		const {entries: [entry], drivers: [driver], workers: [worker], executors: [executor]} = await startCluster(t, 1, 1, 3000);
+		await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+		const {start, poll} = executor!;
+		let unanswered: StartOrder | undefined;
+		executor!.start = async (order, life) => {
+			if (unanswered) {
+				return start(order, life);
+			}
+
+			unanswered = order;
+			return {kind: 'unknown', cause: 'lost', absent: false};
+		};
+
+		void submit(entry!, createJob('j', 1));
+		await waitUntil(() => worker!.tasks.length === 1);
+		executor!.refuses = isGone;
+		worker!.restart();
+		await systemClock.sleep(isGone ? 400 : 0);
+		let calls = 0;
+		const barred = new Promise<number>(resolve => {
+			executor!.poll = async (request, life) => {
+				calls++;
+				const call = calls;
+				const result = await poll(request, life);
+				if (worker!.start({...unanswered!, leaseUntil: 1e6}, {resources: room, durationMs: 1, ending: 'done'}).kind === 'refused') {
+					resolve(call);
+				}
+
+				return result;
+			};
+		});
+		executor!.refuses = false;
+		driver!.workerReported({...driver!.guard.worker!, born: worker!.born}, 0);
+		t.is(await barred, 1);
+	});
+}
--- a/test/lease-model.ts
+++ b/test/lease-model.ts
@@ -251,7 +251,7 @@
 				return;
 			}
 
-			if (this.worker.born !== born) {
+			if (this.worker.born !== born && !isLate) {
 				// The connection broke with the incarnation that it led to.
 				return;
 			}
@@ -312,6 +312,8 @@
 	private lostAt = Number.NEGATIVE_INFINITY;
 	private reportedBorn = Number.NEGATIVE_INFINITY;
 	private isPolling = false;
+	/** The pause before the next poll, if there is one now. */
+	private pause?: {until: number};
 	private readonly durations = new Map<string, {durationMs: number; submission: number}>();
 
 	private constructor(private readonly world: World, private readonly number: number) {
@@ -344,6 +346,7 @@
 		if (isNewer) {
 			this.fence = nextFence(this.fence, clock, 0);
 			this.clockOfWorker.restart(clock, this.now);
+			this.endPause();
 		} else {
 			this.clockOfWorker.readDelayed(clock, this.now);
 		}
@@ -567,11 +570,30 @@
 			this.lostAt = this.now;
 		}
 
+		if (result.kind === 'unknown' && result.absent) {
+			this.fence = nextFence(this.fence, 0, 0);
+		}
+
 		if (this.unansweredPolls === 1) {
 			next();
-		} else {
-			this.process.after(50 * Math.max(1, Math.min(this.unansweredPolls, 6)), next);
+			return;
 		}
+
+		const pauseMs = 50 * Math.max(1, Math.min(this.unansweredPolls, 6));
+		const pause = {until: this.now + pauseMs};
+		this.pause = pause;
+		this.process.after(pauseMs, () => {
+			if (this.pause === pause) {
+				this.endPause();
+				this.pollIfNeeded();
+			}
+		});
+	}
+
+	/** Ends the pause before the next poll. */
+	private endPause(): void {
+		this.isPolling &&= this.pause === undefined;
+		this.pause = undefined;
 	}
 
 	private waitMs(now: number): number {
