Entries: a cancelled job is remembered, so that a repeated submission starts nothing

Cause: a cancelling ended the job under way and left no trace. What is remembered of ended jobs, that they may have run, only chooses the wording of a refusal.

Its submission is answered as cancelled.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -2,6 +2,7 @@
 import {
 	Schedule, type Action, type CrashNotice, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
+import {Cancellations} from '../decide/cancellations.js';
 import type {DesiredState} from '../decide/desired-state.js';
 import type {Departure} from '../decide/departure.js';
 import {areReleases} from '../decide/look-ahead.js';
@@ -111,6 +112,7 @@
 	/** When to forget that an ended job may have run, by job id, in order of time. */
 	private readonly startedJobs = new Map<string, number>();
 	private readonly states: StateExchange;
+	private readonly cancellations = Cancellations.create();
 	private out: readonly string[] = [];
 	/** When the timer for the next refusal fires; no job that has not begun is due to be refused before. */
 	private armedFor = Number.POSITIVE_INFINITY;
@@ -175,6 +177,12 @@
 	 * Returns a function to call when the caller has disconnected: a job without waiting callers is stopped.
 	 */
 	submit(job: Job, answer: Waiter): () => void {
+		if (this.isCancelled(job.id)) {
+			this.log.info({event: 'cancel', job: job.id}, 'submission of a cancelled job');
+			answer({kind: 'cancelled'});
+			return () => undefined;
+		}
+
 		const waiters = this.waiters.get(job.id);
 		if (waiters) {
 			waiters.add(answer);
@@ -196,11 +204,22 @@
 		return this.waiters.has(job) || (this.startedJobs.get(job) ?? 0) > this.clock.mono();
 	}
 
-	/** Cancels a job. Returns whether it was under way here. */
-	cancel(job: string): boolean {
-		const known = this.waiters.has(job);
+	/** Cancels a job, whether it is under way, was or will be. Returns whether it was under way here; `unconfirmed` if there is no room to remember it. */
+	cancel(job: string): 'cancelled' | 'unknown' | 'unconfirmed' {
+		const isRemembered = this.cancellations.add(job, this.clock.mono());
+		const isUnderWay = this.waiters.has(job);
 		this.apply({kind: 'cancel', job});
-		return known;
+		if (!isRemembered) {
+			this.log.warn({event: 'cancel', job, remembered: this.cancellations.size}, 'no room to remember a cancelling; it is not acknowledged');
+			return 'unconfirmed';
+		}
+
+		return isUnderWay ? 'cancelled' : 'unknown';
+	}
+
+	/** Returns whether a job was cancelled lately, so that no submission of it starts anything. */
+	isCancelled(job: string): boolean {
+		return this.cancellations.has(job, this.clock.mono());
 	}
 
 	/** The version of the desired state in force; 0 before there is one. */
