Entries: a cancelling holds at every entry, and a 410 is said only when all have answered

Cause: a cancelling looked only at the jobs of the process that it arrived at.

An entry that gets a cancelling tells all entries that it has links to; each remembers it, ends the job if it holds it and answers. 200 is answered as soon as one held the job, 410 when all have answered that they did not, 503 with Retry-After when one does not answer within 1 s, knows no cancellings or may be there without a link. An entry that links later is told what is remembered, with its age. Messages of another form are logged and ignored; they end neither the link nor a job.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -32,6 +32,15 @@
 		return;
 	}
 
+	if (scenario === 'cancellations') {
+		const {measureCancellations} = await import('./cancellations.js');
+		for (const count of [3, 16, 64]) {
+			await measureCancellations(count);
+		}
+
+		return;
+	}
+
 	if (scenario === 'entry') {
 		const {measureEntry} = await import('./entry-load.js');
 		await measureEntry(values);
--- a/src/ephemeral/address-book.ts
+++ b/src/ephemeral/address-book.ts
@@ -31,6 +31,8 @@
 	dialling: boolean;
 	/** Whether the last attempt to dial it failed. */
 	failed: boolean;
+	/** Whether that attempt was refused: no process was there. */
+	isRefused: boolean;
 	since: number;
 	seed: boolean;
 	/** The process that was last reached there. */
@@ -55,6 +57,15 @@
 		return [...this.known.values()].filter(({link}) => link?.isOpen).map(({address}) => address);
 	}
 
+	/** Whether a process may be at a known address without a link: it was there within `forgetMs`, and the address has not refused a connection since. */
+	get hasSilentAddress(): boolean {
+		const all = [...this.known.values()];
+		const isLinked = ({link}: Known): boolean => link?.isOpen === true && link.peer !== undefined;
+		const linked = new Set(all.filter(known => isLinked(known)).map(({process}) => process));
+		const now = this.options.clock.mono();
+		return all.some(known => !isLinked(known) && !known.isRefused && now - known.since <= forgetMs && !(known.process !== undefined && linked.has(known.process)));
+	}
+
 	/** Starts dialling. */
 	open(): void {
 		this.timer = setInterval(() => {
@@ -74,7 +85,7 @@
 			if (isAddress(address) && address !== this.options.ownAddress() && !this.known.has(address)) {
 				this.ranked = undefined;
 				this.known.set(address, {
-					address, dialling: false, failed: false, since: this.options.clock.mono(), seed,
+					address, dialling: false, failed: false, isRefused: false, since: this.options.clock.mono(), seed,
 				});
 			}
 		}
@@ -154,8 +165,12 @@
 
 	private async dial(known: Known): Promise<void> {
 		known.dialling = true;
-		const link = await this.options.links.dial(known.address);
+		let isRefused = false;
+		const link = await this.options.links.dial(known.address, () => {
+			isRefused = true;
+		});
 		known.dialling = false;
+		known.isRefused = isRefused;
 		known.failed = link === undefined;
 		if (!link) {
 			return;
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -2,7 +2,6 @@
 import {
 	Schedule, type Action, type CrashNotice, type Event, type Job, type PlaceReport, type Policy, type StartAction, type Verdict,
 } from '../decide/schedule/schedule.js';
-import {Cancellations} from '../decide/cancellations.js';
 import type {DesiredState} from '../decide/desired-state.js';
 import type {Departure} from '../decide/departure.js';
 import {areReleases} from '../decide/look-ahead.js';
@@ -13,11 +12,12 @@
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
 import {AddressBook} from './address-book.js';
+import {CancellationExchange, type CancelOutcome} from './cancellation-exchange.js';
 import {
 	Links, type Link, type LinkEndReason, type Receiver,
 } from './link.js';
 import {
-	announcedFeatures, isMessageToSidecar, maxNameLength, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage,
+	announcedFeatures, isMessageToSidecar, maxNameLength, type CancellationMessage, type Hello, type Message, type MessageToEntry, type MessageToSidecar, type ReceivedMessage, type SyncMessage,
 } from './messages.js';
 import {SentTexts} from './spec-texts.js';
 import {StateExchange} from './state-exchange.js';
@@ -112,7 +112,7 @@
 	/** When to forget that an ended job may have run, by job id, in order of time. */
 	private readonly startedJobs = new Map<string, number>();
 	private readonly states: StateExchange;
-	private readonly cancellations = Cancellations.create();
+	private readonly cancellations: CancellationExchange;
 	private out: readonly string[] = [];
 	/** When the timer for the next refusal fires; no job that has not begun is due to be refused before. */
 	private armedFor = Number.POSITIVE_INFINITY;
@@ -147,6 +147,13 @@
 				this.onContradiction?.();
 			},
 		});
+		this.cancellations = CancellationExchange.create({
+			clock,
+			log,
+			meters,
+			cancelHere: job => this.cancelHere(job),
+			isEntryAway: () => this.mayMissEntries,
+		});
 		meters.registerTraffic(this.links.traffic);
 		this.book = AddressBook.create({
 			clock, links: this.links, redialMs, ownAddress: () => this.address, onLinkOpened: link => {
@@ -204,22 +211,24 @@
 		return this.waiters.has(job) || (this.startedJobs.get(job) ?? 0) > this.clock.mono();
 	}
 
-	/** Cancels a job, whether it is under way, was or will be. Returns whether it was under way here; `unconfirmed` if there is no room to remember it. */
-	cancel(job: string): 'cancelled' | 'unknown' | 'unconfirmed' {
-		const isRemembered = this.cancellations.add(job, this.clock.mono());
-		const isUnderWay = this.waiters.has(job);
-		this.apply({kind: 'cancel', job});
-		if (!isRemembered) {
-			this.log.warn({event: 'cancel', job, remembered: this.cancellations.size}, 'no room to remember a cancelling; it is not acknowledged');
-			return 'unconfirmed';
-		}
-
-		return isUnderWay ? 'cancelled' : 'unknown';
+	/** Cancels a job at all entries, whether it is under way, was or will be. Calls `answer` as soon as the outcome is known. */
+	cancel(job: string, answer: (outcome: CancelOutcome) => void): void {
+		this.cancellations.cancel(job, answer);
 	}
 
 	/** Returns whether a job was cancelled lately, so that no submission of it starts anything. */
 	isCancelled(job: string): boolean {
-		return this.cancellations.has(job, this.clock.mono());
+		return this.cancellations.isCancelled(job);
+	}
+
+	/** The number of entries with a link. */
+	get linkedEntries(): number {
+		return this.book.linkedAddresses.length;
+	}
+
+	/** Whether another entry may be there that has no link to this one. */
+	get mayMissEntries(): boolean {
+		return this.book.hasSilentAddress;
 	}
 
 	/** The version of the desired state in force; 0 before there is one. */
@@ -275,6 +284,7 @@
 		clearTimeout(this.refusalTimer);
 		clearTimeout(this.announceTimer);
 		this.states.close();
+		this.cancellations.close();
 		this.links.close();
 	}
 
@@ -307,19 +317,15 @@
 				break;
 			}
 
-			case 'entries': {
-				if (link.peer?.role === 'entry') {
-					this.addAddresses(message.addresses);
-				}
-
-				break;
-			}
-
+			case 'entries':
 			case 'newest':
 			case 'fetch':
-			case 'desired': {
+			case 'desired':
+			case 'cancel':
+			case 'cancelAnswer':
+			case 'cancellations': {
 				if (link.peer?.role === 'entry') {
-					this.states.receive(message, link);
+					this.handleEntryMessage(message, link);
 				}
 
 				break;
@@ -342,6 +348,7 @@
 
 	linkEnded(link: Link, why: LinkEndReason, problem?: string): void {
 		this.states.removeLink(link);
+		this.cancellations.removeLink(link);
 		this.book.linkEnded(link);
 		const {peer} = link;
 		if (!peer && !problem) {
@@ -363,6 +370,38 @@
 		}
 	}
 
+	private handleEntryMessage(message: SyncMessage | CancellationMessage, link: Link): void {
+		switch (message.kind) {
+			case 'entries': {
+				this.addAddresses(message.addresses);
+				break;
+			}
+
+			case 'newest':
+			case 'fetch':
+			case 'desired': {
+				this.states.receive(message, link);
+				break;
+			}
+
+			case 'cancel':
+			case 'cancelAnswer':
+			case 'cancellations': {
+				this.cancellations.receive(message, link);
+				break;
+			}
+		}
+	}
+
+	private cancelHere(job: string): boolean {
+		const isUnderWay = this.waiters.has(job);
+		if (isUnderWay) {
+			this.apply({kind: 'cancel', job});
+		}
+
+		return isUnderWay;
+	}
+
 	/** `heldMs`: the time since its submission; `inputAgeMs`: how long the sockets had not been read then. */
 	private removeWaiter(job: string, answer: Waiter, times: {heldMs: number; inputAgeMs: number}): void {
 		const waiters = this.waiters.get(job);
@@ -414,6 +453,7 @@
 		this.hello(link);
 		link.send({kind: 'entries', addresses: this.addresses()});
 		this.states.addLink(link);
+		this.cancellations.addLink(link);
 		this.announceAddresses();
 	}
 
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -221,7 +221,10 @@
 			case 'crashed':
 			case 'newest':
 			case 'fetch':
-			case 'desired': {
+			case 'desired':
+			case 'cancel':
+			case 'cancelAnswer':
+			case 'cancellations': {
 				break;
 			}
 		}
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -433,8 +433,8 @@
 		return this.traffic.entry.out + this.traffic.sidecar.out + this.traffic.stranger.out;
 	}
 
-	/** Opens a link to an address, as host:port. Resolves to `undefined` if it cannot be reached within `connectMs`. */
-	async dial(address: string): Promise<Link | undefined> {
+	/** Opens a link to an address, as host:port. Resolves to `undefined` if it cannot be reached within `connectMs`; `onRefused` is called first if nothing listens there. */
+	async dial(address: string, onRefused?: () => void): Promise<Link | undefined> {
 		const [host, port] = splitAddress(address);
 		return new Promise(resolve => {
 			const socket = createConnection({host, port});
@@ -442,8 +442,12 @@
 				socket.destroy();
 				resolve(undefined);
 			}, connectMs);
-			socket.once('error', () => {
+			socket.once('error', ({code}: NodeJS.ErrnoException) => {
 				clearTimeout(timer);
+				if (code === 'ECONNREFUSED') {
+					onRefused?.();
+				}
+
 				resolve(undefined);
 			});
 			socket.once('connect', () => {
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -22,9 +22,9 @@
 const name = z.string().max(maxNameLength);
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
-export type Feature = 'specs' | 'msgpack' | 'parts' | 'crashes' | 'callers' | 'lookAhead';
+export type Feature = 'specs' | 'msgpack' | 'parts' | 'crashes' | 'callers' | 'cancels' | 'lookAhead';
 /** The features of this version that are announced whenever those of the links are on. */
-export const features: readonly Feature[] = ['specs', 'msgpack', 'parts', 'crashes', 'callers'];
+export const features: readonly Feature[] = ['specs', 'msgpack', 'parts', 'crashes', 'callers', 'cancels'];
 /** The most tasks that the report of a crash names. */
 export const maxCrashedTasks = 1000;
 
@@ -125,6 +125,15 @@
 	z.object({kind: z.literal('desired'), asOf: version, text: z.string()}),
 ] as const;
 
+/** The messages between entries about cancelled jobs. Their values are checked where they are handled, since a malformed one must not end the link. */
+const cancellation = [
+	/** Cancels a job and remembers that. Answered by `cancelAnswer`. */
+	z.object({kind: z.literal('cancel'), job: z.unknown().optional()}),
+	z.object({kind: z.literal('cancelAnswer'), job: z.unknown().optional(), isUnderWay: z.unknown().optional()}),
+	/** The jobs that were cancelled lately, each with how long ago that was in milliseconds. */
+	z.object({kind: z.literal('cancellations'), jobs: z.unknown().optional()}),
+] as const;
+
 /** A heartbeat. `needed`: the sender needs the link, so the receiver must send heartbeats at the short interval too. */
 const beat = z.object({kind: z.literal('beat'), needed: z.boolean()});
 
@@ -137,13 +146,14 @@
 const partTaken = z.object({kind: z.literal('partTaken')});
 
 const ofLinks = [beat, codec, part, partTaken] as const;
-const all = [hello, ...toEntry, ...toSidecar, ...sync, ...ofLinks] as const;
+const all = [hello, ...toEntry, ...toSidecar, ...sync, ...cancellation, ...ofLinks] as const;
 const schemas: ReadonlyMap<unknown, z.ZodType<Message>> = new Map(all.map(schema => [schema.shape.kind.value, schema]));
 
 export type Hello = z.infer<typeof hello>;
 export type MessageToEntry = z.infer<typeof toEntry[number]>;
 export type MessageToSidecar = z.infer<typeof toSidecar[number]>;
 export type SyncMessage = z.infer<typeof sync[number]>;
+export type CancellationMessage = z.infer<typeof cancellation[number]>;
 
 /** A message that a link handles by itself. */
 export type LinkMessage = z.infer<typeof ofLinks[number]>;
@@ -161,7 +171,7 @@
 }
 
 /** A message on a link. */
-export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | LinkMessage;
+export type Message = Hello | MessageToEntry | MessageToSidecar | SyncMessage | CancellationMessage | LinkMessage;
 
 /** A message that a link passes on to its receiver. */
 export type ReceivedMessage = Exclude<Message, LinkMessage>;
--- a/test/entry-overload.test.ts
+++ b/test/entry-overload.test.ts
@@ -158,6 +158,6 @@
 	loopDelayMs = 5000;
 	const second = ask('2', body);
 	await systemClock.sleep(100);
-	dispatcher.cancel('r/2');
+	dispatcher.cancel('r/2', () => undefined);
 	t.deepEqual([(await first).text, (await second).text], ['{"state":"cancelled"}', '{"state":"cancelled"}']);
 });
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -19,6 +19,8 @@
 import {decodeLook, decodeReply, openWorker} from '../platform/worker.js';
 import type {Reply} from '../src/ports/executor.js';
 import {checkSettings} from '../src/settings/load.js';
+import {waitUntil} from './ephemeral-cluster.js';
+import {hello, linkTo} from './odd-peer.js';
 
 const quiet = pino({level: 'silent'});
 const beat = {
@@ -511,6 +513,15 @@
 		t.deepEqual([reply.statusCode, reply.body], [code, body], `${method} ${url}`);
 	}
 
+	const long = await ask('DELETE', `/p/${'0'.repeat(300)}`);
+	t.is(long.statusCode, 400);
+	const silent = await linkTo(t, dispatcher.address, hello('entry', {features: ['cancels']}));
+	await waitUntil(() => silent.has('hello'));
+	const unconfirmed = await ask('DELETE', '/p/00aa');
+	t.deepEqual([unconfirmed.statusCode, unconfirmed.headers['retry-after']], [503, '1']);
+	t.deepEqual((await ask('POST', '/p/00aa', submission)).body, {state: 'cancelled'} as Record<string, unknown>);
+	silent.socket.destroy();
+
 	const unserved = await ask('POST', '/p/00aa', {...submission, best_effort: false});
 	t.is(unserved.statusCode, 503);
 	t.is((await ask('POST', '/p/00aa', '{')).statusCode, 400);
