Entries: a stopping entry answers every job that it has taken before it ends

Cause: 0.7 s before the end of the grace time the entry closed all connections, with callers waiting. Admission lets a job in by its estimate; where that is too low, the job outlasts the entry.

Change: at that time each job is given up and gets its true answer, 504 where a task may have run, 503 with Retry-After where none has, and its tasks are stopped; cancellings that wait for other entries get theirs. What can't end in time by its estimate is refused at once, as before.

Tests: test/last-answers.test.ts with the entry's program, 1 and 1,000 callers and one that reads only after the process has ended: 504 for all.

--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -223,6 +223,14 @@
 				break;
 			}
 
+			case 'giveUp': {
+				for (const activeJob of this.jobs.all()) {
+					this.finish(activeJob, this.admission.verdictOnGivingUp(activeJob, 'stopping', now), now, actions);
+				}
+
+				break;
+			}
+
 			case 'tick': {
 				this.tick(now, actions);
 				break;
--- a/src/decide/schedule/types.ts
+++ b/src/decide/schedule/types.ts
@@ -88,6 +88,8 @@
 		| {kind: 'zones'; out: ReadonlySet<string>}
 	/** The entry is shutting down: only jobs expected to end by `until` are admitted. */
 		| {kind: 'stopping'; until: number}
+	/** The entry is about to end: each job is given up and gets its final answer. */
+		| {kind: 'giveUp'}
 		| {kind: 'tick'};
 
 /** StartAction orders a sidecar to start a task; `ref` identifies the order. `expectedMs`: the run time expected there, where placement looks ahead. */
--- a/src/ephemeral/cancellation-exchange.ts
+++ b/src/ephemeral/cancellation-exchange.ts
@@ -107,6 +107,13 @@
 		}
 	}
 
+	/** Answers every cancelling that waits for other entries. */
+	giveUp(): void {
+		for (const job of this.inquiries.keys()) {
+			this.settle(job, 'unconfirmed');
+		}
+	}
+
 	close(): void {
 		for (const {timer} of this.inquiries.values()) {
 			clearTimeout(timer);
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -277,6 +277,14 @@
 		this.apply({kind: 'stopping', until: this.clock.mono() + withinMs});
 	}
 
+	/** Gives every job up, so that each caller gets its final answer before the process ends. Returns the number of jobs. */
+	giveUp(): number {
+		const {jobCount} = this.schedule;
+		this.apply({kind: 'giveUp'});
+		this.cancellations.giveUp();
+		return jobCount;
+	}
+
 	/** Ends all links. */
 	close(): void {
 		clearInterval(this.timer);
--- a/test/entry-program.ts
+++ b/test/entry-program.ts
@@ -25,7 +25,7 @@
 }
 
 /** Starts the entry's program for the users' platform. Resolves to the port where it takes callers and the address where it takes links. */
-export async function startEntry(t: ExecutionContext, store: string): Promise<{front: number; links: string}> {
+export async function startEntry(t: ExecutionContext, store: string): Promise<{front: number; links: string; child: ChildProcess}> {
 	const [front, ready, links] = await freePorts(3) as [number, number, number];
 	const folder = mkdtempSync(path.join(tmpdir(), 'entry-'));
 	const settings = path.join(folder, 'settings.json');
@@ -46,5 +46,5 @@
 		child.kill('SIGKILL');
 		rmSync(folder, {recursive: true});
 	});
-	return {front, links: `127.0.0.1:${links}`};
+	return {front, links: `127.0.0.1:${links}`, child};
 }
--- /dev/null
+++ b/test/last-answers.test.ts
@@ -0,0 +1,121 @@
+import {Agent, request as httpRequest} from 'node:http';
+import {connect} from 'node:net';
+import {once} from 'node:events';
+import test from 'ava';
+import {systemClock} from '../src/adapters/clock.js';
+import {Dispatcher} from '../src/ephemeral/dispatcher.js';
+import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
+import {
+	createExecutor, createJob, leaseMs, silentLog, startCluster, startDriver, submit, waitUntil,
+} from './ephemeral-cluster.js';
+import {startEntry} from './entry-program.js';
+import {ModelStore, serveStore} from './model-store.js';
+import {ModelWorker} from './model-worker.js';
+import {hello, linkTo} from './odd-peer.js';
+
+// Guards against a process that ends without an answer to the jobs and cancellings that it has taken.
+test('last answers: an entry that gives up answers each job by whether it may have run', async t => {
+	const {entries: [entry], workers} = await startCluster(t, 1, 1, 5000);
+	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+	const running = submit(entry!, createJob('running', 2));
+	await waitUntil(() => workers[0]!.tasks.length === 2);
+	const queued = submit(entry!, createJob('queued', 2));
+	await systemClock.sleep(50);
+	t.is(entry!.giveUp(), 2);
+	t.deepEqual(await running, {kind: 'expired'});
+	t.like(await queued, {kind: 'refused', why: 'stopping'});
+	await waitUntil(() => workers[0]!.tasks.length === 0);
+});
+
+test('last answers: an entry that gives up does not say that a cancelled job is unknown', async t => {
+	const entry = await Dispatcher.create({
+		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
+	}, systemClock, silentLog, DispatcherMetrics.create());
+	t.teardown(() => {
+		entry.close();
+	});
+	const silent = await linkTo(t, entry.address, hello('entry', {features: ['cancels']}));
+	await waitUntil(() => silent.has('hello'));
+	const outcome = new Promise(resolve => {
+		entry.cancel('j', resolve);
+	});
+	entry.giveUp();
+	t.is(await outcome, 'unconfirmed');
+});
+
+const body = JSON.stringify({
+	spec: 'x', best_effort: true, steps: [{
+		count: 1, cpu: 1, mem_mb: 1, estimate_ms: 50,
+	}],
+});
+const idOf = (index: number) => index.toString(16).padStart(16, '0');
+
+for (const callers of [1, 1000]) {
+	// The estimate lets the jobs in; their tasks go on for longer than the entry has.
+	test(`last answers: a stopping entry answers ${callers} callers whose jobs outlast it, and one that reads late`, async t => {
+		const store = ModelStore.create(500);
+		store.write('config', JSON.stringify({
+			version: 1, routes: [{
+				name: 'r', host: 'a.example', path_prefix: '/p/', service: 'p', target_latency_ms: 20_000,
+			}],
+		}));
+		const {front, links, child} = await startEntry(t, await serveStore(t, store, () => false));
+		const capacity = {cpu: 10_000, memoryMb: 100_000, accelerators: 0};
+		const worker = ModelWorker.create(capacity, leaseMs);
+		startDriver(t, 's', {
+			seeds: [links],
+			executor: createExecutor(worker, {resources: {cpu: 1, memoryMb: 1, accelerators: 0}, durationMs: 60_000, ending: 'done'}),
+			first: {
+				worker: {
+					incarnation: 'w', born: 1, pool: 'p', capacity, labels: [], draining: false,
+				}, clock: 0,
+			},
+		});
+		const agent = new Agent({keepAlive: true});
+		t.teardown(() => {
+			agent.destroy();
+		});
+		const submitTo = async (id: string): Promise<number | string> => new Promise(resolve => {
+			const request = httpRequest({
+				port: front, host: '127.0.0.1', agent, method: 'POST', path: `/p/${id}`, headers: {host: 'a.example', 'content-type': 'application/json', 'x-deadline-ms': '60000'},
+			}, response => {
+				response.resume();
+				response.once('end', () => {
+					resolve(response.statusCode!);
+				});
+			});
+			request.once('error', (error: NodeJS.ErrnoException) => {
+				resolve(error.code ?? error.message);
+			});
+			request.end(body);
+		});
+		const first = idOf(0);
+		for (;;) {
+			const answer = submitTo(first);
+			// A refusal comes at once; a job that is taken waits for its end.
+			if (await Promise.race([answer, systemClock.sleep(500).then(() => 'taken')]) === 'taken') {
+				break;
+			}
+
+			await systemClock.sleep(100);
+		}
+
+		const answers = Array.from({length: callers}, async (_, index) => submitTo(idOf(index + 1)));
+		const late = connect({port: front, host: '127.0.0.1'});
+		late.pause();
+		late.write(`POST /p/${idOf(callers + 1)} HTTP/1.1\r\nhost: a.example\r\ncontent-type: application/json\r\nx-deadline-ms: 60000\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+		await waitUntil(() => worker.tasks.length === callers + 2);
+		child.kill('SIGTERM');
+		await once(child, 'exit');
+		const statuses = new Set(await Promise.all(answers));
+		t.deepEqual([...statuses], [504]);
+		const chunks: string[] = [];
+		late.on('data', (chunk: Uint8Array) => {
+			chunks.push(String(chunk));
+		});
+		late.resume();
+		await once(late, 'end');
+		t.regex(chunks.join(''), /^HTTP\/1\.1 504 .*"error"/sv);
+		t.is(child.exitCode, 0);
+	});
+}
