--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -251,7 +251,7 @@
 	takeRead(state: ZonedState, askedAt: number): boolean {
 		const isNew = this.states.takeRead(state, askedAt);
 		if (isNew) {
-			this.setDesiredState(state.asOf, state.text, state.out, state);
+			this.setDesiredState(state.asOf, state.text, state.out, {number: state.number});
 		}
 
 		return isNew;
