Tests: one stand-in server for the store's tests

test/model-store.ts had the set-up of test/platform.test.ts once more; both use test/local-server.ts. No check changes.

--- a/test/model-store.ts
+++ b/test/model-store.ts
@@ -1,8 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import type {ExecutionContext} from 'ava';
 import type {TableAnswer, TableRequest, TableRow} from '../src/decide/table-copy.js';
+import {serve} from './local-server.js';
 
 type Change = TableRow & {version: number};
 
@@ -84,9 +83,7 @@
 
 /** Serves a model store as the operator's table by the published protocol, until the test ends; other tables are empty. Resolves to its address. */
 export async function serveStore(t: ExecutionContext, store: ModelStore, answered: Answered): Promise<string> {
-	const server = createServer((request, response) => {
-		request.resume();
-		const {pathname, searchParams} = new URL(request.url!, 'http://store');
+	return serve(t, (_request, {pathname, searchParams}, response) => {
 		const asked: TableRequest = pathname.endsWith('rows-get')
 			? {kind: 'page', from: searchParams.get('from')!}
 			: {kind: 'changes', after: Number(searchParams.get('after')), waits: searchParams.get('wait_ms') !== '0'};
@@ -123,12 +120,4 @@
 
 		reply();
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.closeAllConnections();
-		server.close();
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,10 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setImmediate as turn} from 'node:timers/promises';
 import {Worker as Thread} from 'node:worker_threads';
-import test, {type ExecutionContext} from 'ava';
+import test from 'ava';
 import {pino} from 'pino';
 import {request} from 'undici';
 import {systemClock} from '../src/adapters/clock.js';
@@ -20,6 +19,7 @@
 import type {Reply} from '../src/ports/executor.js';
 import {checkSettings} from '../src/settings/load.js';
 import {waitUntil} from './ephemeral-cluster.js';
+import {serve} from './local-server.js';
 import {hello, linkTo} from './odd-peer.js';
 
 const quiet = pino({level: 'silent'});
@@ -296,24 +296,6 @@
 	t.regex(error.message, /bounds\.hold_max_ms/v);
 });
 
-type Handler = (request: IncomingMessage, url: URL, response: ServerResponse) => void;
-
-/** Serves a stand-in on a free port. Resolves to its address. */
-async function serve(t: ExecutionContext, handler: Handler): Promise<string> {
-	const server = createServer((request, response) => {
-		request.resume();
-		handler(request, new URL(request.url!, 'http://x'), response);
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.closeAllConnections();
-		server.close();
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
 const rowOf = (key: string, ver: number, value = key) => ({
 	table: 'op', part: '', key, ver, value: Buffer.from(value).toString('base64'),
 });
