--- a/test/lease-histories.test.ts
+++ b/test/lease-histories.test.ts
@@ -174,6 +174,25 @@
 			rate: 0.98, clock: 0, killMs: 49, callMs: 0,
 		},
 	],
+	[
+		'a start that a cut delivers after its entry has lost power, at a worker that has just come up',
+		[{
+			at: 600, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 1460, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 600, entry: 1, sidecar: 0, durationMs: 1000,
+		}],
+		[{
+			kind: 'power', role: 'entry', at: 1500, forMs: 1024, on: 0,
+		}, {
+			kind: 'cut', entry: 0, toSidecar: true, toEntry: false, at: 1098, forMs: 1022, on: 0,
+		}, {
+			kind: 'kill', role: 'sidecar', at: 900, forMs: 20, on: 0,
+		}, {
+			kind: 'worker restart', hasSameName: false, at: 0, forMs: 1314, on: 0,
+		}],
+	],
 	[
 		'a start after an idle minute at a worker whose clock is 2% slow',
 		[{
