A refusal from before a link says nothing about the time after it

Cause: the address book kept whether the last dial of an address was refused. An entry that refused a dial while it started, then dialled here itself, and was then cut off counted as gone until the next dial, so that a cancelling could be answered 410 while the job went on there.

Change: the end of a link forgets an earlier refusal, and a dial that began before a link came and went doesn't bring it back.

Result: the new test of the address book failed before (hasSilentAddress false where true is expected) and passes.

--- a/src/ephemeral/address-book.ts
+++ b/src/ephemeral/address-book.ts
@@ -114,6 +114,8 @@
 		for (const known of this.known.values()) {
 			if (known.link === link) {
 				known.link = undefined;
+				// A refusal from before the link says nothing about the process that was at its end.
+				known.isRefused = false;
 				known.since = this.options.clock.mono();
 			}
 		}
@@ -164,13 +166,14 @@
 	}
 
 	private async dial(known: Known): Promise<void> {
+		const {since} = known;
 		known.dialling = true;
 		let isRefused = false;
 		const link = await this.options.links.dial(known.address, () => {
 			isRefused = true;
 		});
 		known.dialling = false;
-		known.isRefused = isRefused;
+		known.isRefused = isRefused && known.since === since;
 		known.failed = link === undefined;
 		if (!link) {
 			return;
--- a/test/address-book.test.ts
+++ b/test/address-book.test.ts
@@ -84,3 +84,16 @@
 	t.true(book.linkedAddresses.includes(addresses[0]!));
 	t.true(beyond()[0]!.isOpen);
 });
+
+// Guards against a job that is said to be unknown while the entry that holds it is cut off: a refusal from before its link says nothing about the time after.
+test('book: an address that refused a connection, was linked from the other side and is cut off may have a process', async t => {
+	const [address, other] = [...(await listen(t, 2)).entries()];
+	address![1].close();
+	const {book} = open(t, [address![0]]);
+	await waitUntil(() => !book.hasSilentAddress);
+	const link = await links(t).dial(other![0]);
+	book.accept(address![0], link!);
+	book.linkEnded(link!);
+	t.true(book.hasSilentAddress);
+	await waitUntil(() => !book.hasSilentAddress);
+});
