Test of a stopping entry: callers submit again until all are taken

The test waited for 1,002 tasks at the worker, but beside 14 to 24 busy processes the thousand submissions stalled the test's process, which is the worker too: its link ended, 428 started runs were stopped and the jobs refused or expired, as they should be, before the entry was told to stop. Nothing submitted them again, so the wait had no end.

Change: callers come a hundred at a time and submit again until the entry stops; from there on the check is the same: each of them gets 504, also the one that reads late. waitUntil rejects after 60 s, so that a test that waits for nothing fails by its name and doesn't stop the whole run.

--- a/test/ephemeral-cluster.ts
+++ b/test/ephemeral-cluster.ts
@@ -15,6 +15,8 @@
 export const silentLog = pino({level: 'silent'});
 /** How often a condition is looked at while a test waits for it, in milliseconds. */
 const pollMs = 10;
+/** How long a test waits for a condition, in milliseconds. It is no bound of a test: each passes in far less, and the runner gives up after four minutes. */
+const waitLimitMs = 60_000;
 
 /** ModelExecutor is a model worker as an executor, in real time or slower by a rate: time passes at each call. */
 export type ModelExecutor = Executor & {
@@ -115,9 +117,14 @@
 	return scene;
 }
 
-/** Resolves when a condition holds. */
+/** Resolves when a condition holds. Rejects after a time, so that a test that waits for nothing fails by its name and does not stop the whole run. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
+	const giveUpAt = systemClock.mono() + waitLimitMs;
 	while (!condition()) {
+		if (systemClock.mono() > giveUpAt) {
+			throw new Error(`still not so after ${waitLimitMs} ms: ${condition.toString()}`);
+		}
+
 		await systemClock.sleep(pollMs);
 	}
 }
--- a/test/last-answers.test.ts
+++ b/test/last-answers.test.ts
@@ -48,6 +48,8 @@
 		count: 1, cpu: 1, mem_mb: 1, estimate_ms: 50,
 	}],
 });
+/** How many callers come at once. A thousand at once keep the process of the test, which is the worker too, busy for longer than a lease. */
+const batch = 100;
 const idOf = (index: number) => index.toString(16).padStart(16, '0');
 
 for (const callers of [1, 1000]) {
@@ -89,22 +91,30 @@
 			});
 			request.end(body);
 		});
-		const first = idOf(0);
-		for (;;) {
-			const answer = submitTo(first);
-			// A refusal comes at once; a job that is taken waits for its end.
-			if (await Promise.race([answer, systemClock.sleep(500).then(() => 'taken')]) === 'taken') {
-				break;
+		let isStopping = false;
+		// On a busy machine jobs are refused or cut short before the entry stops. Their callers submit them again, so that all of them wait when it does.
+		const submitUntilStop = async (id: string): Promise<number | string> => {
+			for (;;) {
+				const answer = await submitTo(id);
+				if (isStopping) {
+					return answer;
+				}
+
+				await systemClock.sleep(100);
 			}
+		};
 
-			await systemClock.sleep(100);
+		const answers: Array<Promise<number | string>> = [];
+		while (answers.length <= callers) {
+			answers.push(...Array.from({length: Math.min(batch, callers + 1 - answers.length)}, async (_, index) => submitUntilStop(idOf(answers.length + index))));
+			await waitUntil(() => worker.tasks.length === answers.length);
 		}
 
-		const answers = Array.from({length: callers}, async (_, index) => submitTo(idOf(index + 1)));
 		const late = connect({port: front, host: '127.0.0.1'});
 		late.pause();
 		late.write(`POST /p/${idOf(callers + 1)} HTTP/1.1\r\nhost: a.example\r\ncontent-type: application/json\r\nx-deadline-ms: 60000\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
 		await waitUntil(() => worker.tasks.length === callers + 2);
+		isStopping = true;
 		child.kill('SIGTERM');
 		await once(child, 'exit');
 		const statuses = new Set(await Promise.all(answers));
