Stamps from before any worker is known are not dates of the first worker's clock

Cause, by a trace of the guard's events: a sidecar that has not found its worker yet stamps its messages with 0. The entry dates its starts by that and the time since, 541 ms; once the worker is found, with its clock at 186 ms, that date is taken for one of its clock, which shows 790 ms when the start arrives: an age of 249 ms instead of 660.

--- a/test/worker-clock.test.ts
+++ b/test/worker-clock.test.ts
@@ -49,3 +49,14 @@
 		t.is(workerClock.clockOf(workerClock.stampAt(5200)), clock + 100);
 	});
 }
+
+for (const clock of [0, 186, 9000, 480_000]) {
+	// Guards against a start that was ordered before its sidecar had found a worker, held up by a cut, and seems young by the clock of a worker that has just come up.
+	test(`worker clock: a stamp from before any worker is known is older than any start may be where the first one's clock shows ${clock}`, t => {
+		const workerClock = WorkerClock.create();
+		const stamp = workerClock.stampAt(0);
+		workerClock.restart(clock, 500);
+		t.true(workerClock.valueAt(1200) - workerClock.clockOf(stamp + 500) > 600);
+		t.is(workerClock.clockOf(workerClock.stampAt(1200)), clock + 700);
+	});
+}
