A stop goes before the starts of the same turn

Cause, by a trace: a slow entry takes one turn in 209 ms. In one turn it reads that the caller has gone and starts a task of another caller; the start stands first in the block. Its date counts for all runs of the entry that are not being stopped, so the sidecar takes the departed caller for connected 211 ms after it had gone, and only then reads the stop. Where stops go unanswered, leases last that much longer.

Change: a stop is put before the starts that wait for the same turn. It never concerns one of them: those are taken back.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -780,12 +780,15 @@
 		sidecar.link.send(start);
 	}
 
-	/** Sends a stop, or takes back the start if that has not been sent: its date would be that of the callers who are still there. */
+	/**
+	 * Sends a stop, or takes back the start if that has not been sent: its date would be that of the callers who are still there. A stop goes before
+	 * the starts of the same turn, since their date counts for all runs of this entry that are not being stopped.
+	 */
 	private sendStop({place, ref, hung}: StopAction): void {
 		const sidecar = this.sidecars.get(place);
 		const index = sidecar?.undatedStarts.findIndex(start => start.ref === ref) ?? -1;
 		if (!sidecar || index === -1) {
-			sidecar?.link.send({kind: 'stop', ref, hung});
+			sidecar?.link.send({kind: 'stop', ref, hung}, sidecar.undatedStarts[0]);
 			return;
 		}
 
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -142,8 +142,8 @@
 		}
 	}
 
-	/** Sends a message, together with the others of this turn of the event loop. Messages keep their order, but for a desired state, whose parts let others pass. */
-	send(message: Message): void {
+	/** Sends a message, together with the others of this turn of the event loop. Messages keep their order, but for a desired state, whose parts let others pass, and one that goes `before` another of this turn. */
+	send(message: Message, before?: Message): void {
 		if (this.hasEnded) {
 			return;
 		}
@@ -153,7 +153,8 @@
 			return;
 		}
 
-		this.pending.push(message);
+		const index = before ? this.pending.indexOf(before) : -1;
+		this.pending.splice(index === -1 ? this.pending.length : index, 0, message);
 		if (!this.scheduled) {
 			this.scheduled = true;
 			setImmediate(() => {
--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -9,8 +9,9 @@
 import {Dispatcher} from '../src/ephemeral/dispatcher.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 import {
-	createJob, silentLog, startCluster, submit, waitUntil,
+	createJob, room, silentLog, startCluster, submit, waitUntil,
 } from './ephemeral-cluster.js';
+import {hello, linkTo} from './odd-peer.js';
 
 const desired = decodeDesired(new Map([['config', JSON.stringify({
 	version: 1, routes: [{
@@ -89,6 +90,29 @@
 	t.true(values.some(({labels: {why}, value}) => why === 'stale' && value > 0));
 });
 
+// Guards against a run that outlives its caller because the date of a start that goes first confirms it once more.
+test('departed caller: the stop of its run goes before the starts of other callers in the same turn', async t => {
+	const entry = await Dispatcher.create({
+		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
+	}, systemClock, silentLog, DispatcherMetrics.create());
+	t.teardown(() => {
+		entry.close();
+	});
+	const sidecar = await linkTo(t, entry.address, hello('sidecar'));
+	sidecar.say({
+		kind: 'place', report: {
+			zone: 'z', pool: 'p', room, others: {cpu: 0, memoryMb: 0, accelerators: 0}, isFailing: false,
+		}, stamp: 1, clear: true,
+	});
+	await waitUntil(() => entry.schedule.placeCounts.open === 1);
+	const leave = entry.submit(createJob('gone', 1), () => undefined);
+	await waitUntil(() => sidecar.has('start'));
+	entry.submit(createJob('here', 1), () => undefined);
+	leave();
+	await waitUntil(() => sidecar.heard.filter(({kind}) => kind === 'start').length === 2);
+	t.deepEqual(sidecar.heard.filter(({kind}) => kind === 'start' || kind === 'stop').map(({kind, task = ''}) => `${kind} ${task as string}`), ['start gone.0', 'stop ', 'start here.0']);
+});
+
 /** The code of a thread with a sidecar that reports its clock every 20 ms and says how old each start is on arrival, in milliseconds. */
 const sidecarCode = String.raw`
 	const {connect} = require('node:net');
--- a/test/lease-histories.test.ts
+++ b/test/lease-histories.test.ts
@@ -96,7 +96,7 @@
 };
 
 // Each history guards against one failure that random histories or their traces have shown.
-for (const [title, jobs, faults, host = steadyWorker] of [
+for (const [title, jobs, faults, host = steadyWorker, linkMs = 1] of [
 	[
 		'a run whose caller has gone while the worker answers no stops',
 		[{
@@ -193,6 +193,31 @@
 			kind: 'worker restart', hasSameName: false, at: 0, forMs: 1314, on: 0,
 		}],
 	],
+	[
+		'a run whose stop a slow entry sends in one block with a start for another caller',
+		[{
+			at: 0, entry: 0, sidecar: 0, durationMs: 750,
+		}, {
+			at: 620, entry: 1, sidecar: 0, durationMs: 20,
+		}, {
+			at: 0, entry: 1, sidecar: 0, durationMs: 2291, resetMs: 1103,
+		}, {
+			at: 0, entry: 0, sidecar: 0, durationMs: 750, resetMs: 249,
+		}],
+		[{
+			kind: 'slow', role: 'entry', everyMs: 209, at: 883, forMs: 230, on: 1,
+		}, {
+			kind: 'worker slow', eachMs: 60, at: 490, forMs: 343, on: 0,
+		}, {
+			kind: 'worker freeze', at: 1588, forMs: 766, on: 0,
+		}, {
+			kind: 'stops', how: 'lost', at: 259, forMs: 1294, on: 0,
+		}],
+		{
+			rate: 0.98, clock: 0, killMs: 49, callMs: 0,
+		},
+		8,
+	],
 	[
 		'a start after an idle minute at a worker whose clock is 2% slow',
 		[{
@@ -204,10 +229,10 @@
 			kind: 'stops', how: 'lost', at: 60_000, forMs: 3000, on: 0,
 		}],
 	],
-] as Array<[string, Job[], Fault[], History['workers'][number]?]>) {
+] as Array<[string, Job[], Fault[], History['workers'][number]?, number?]>) {
 	test(`leases: no task runs twice: ${title}`, t => {
 		t.deepEqual(play({
-			workers: [host], linkMs: 1, jobs, faults,
+			workers: [host], linkMs, jobs, faults,
 		}).violations, []);
 	});
 }
--- a/test/lease-model.ts
+++ b/test/lease-model.ts
@@ -716,7 +716,7 @@
 		const undated = this.links.get(sidecar)?.undated ?? [];
 		const index = undated.findIndex(start => start.ref === ref);
 		if (index === -1) {
-			link.send({kind: 'stop', ref});
+			link.send({kind: 'stop', ref}, undated[0]);
 			return;
 		}
 
--- a/test/model-network.ts
+++ b/test/model-network.ts
@@ -208,8 +208,9 @@
 		this.sentAt = timeline.now;
 	}
 
-	send(message: Out): void {
-		this.pending.push(message);
+	send(message: Out, before?: Out): void {
+		const index = before === undefined ? -1 : this.pending.indexOf(before);
+		this.pending.splice(index === -1 ? this.pending.length : index, 0, message);
 		this.schedule();
 	}
 
