Runs ordered before a restart was known are overdue by the time since their callers were last there

Cause, by a trace: a sidecar that stood still orders a start with its first turn, then reads the report that the worker has started again under its name. The new incarnation carries the order out. As its date is one of the old clock, it is forgotten; but a run without a date never counted as overdue, so that nothing stopped it but its lease, which lasts for a second from the order and not from when its caller was last there.

Change: each run also keeps that time by the sidecar's own clock.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -125,6 +125,8 @@
 	hasBegun: boolean;
 	/** The latest time at which its caller was known to be connected, in worker-clock milliseconds; undefined if that is one of an earlier incarnation's clock. */
 	date?: number;
+	/** The same time in this process's monotonic milliseconds, by which a run is overdue while no date of the present incarnation's clock is known. */
+	datedAt: number;
 	/** The start of the incarnation that it was ordered from. */
 	born: number;
 	/** Whether its owner still expects a result; false once the owner was lost. */
@@ -285,9 +287,9 @@
 		return dates.length === 0 ? 0 : this.leases.grant(clock, Math.min(...dates));
 	}
 
-	/** Whether an owner that waits for runs has not been heard of for so long that they must be stopped. `clock` is the worker's clock. */
-	isOverdue(owner: string, clock: number): boolean {
-		return this.confirmableRuns(owner).some(({date}) => date !== undefined && this.leases.isOverdue(date, clock));
+	/** Whether an owner that waits for runs has not been heard of for so long that they must be stopped. `clock` is the worker's clock, `now` in monotonic milliseconds. */
+	isOverdue(owner: string, clock: number, now: number): boolean {
+		return this.confirmableRuns(owner).some(({date, datedAt}) => date === undefined ? this.leases.isOverdue(datedAt, now) : this.leases.isOverdue(date, clock));
 	}
 
 	/** Whether all leases have expired, so that nothing that was started can still run, once the worker's clock shows at least `clock`. */
@@ -339,7 +341,7 @@
 			}
 
 			case 'confirmed': {
-				this.handleConfirmation(event);
+				this.handleConfirmation(event, now);
 				break;
 			}
 
@@ -381,11 +383,12 @@
 		return actions;
 	}
 
-	private handleConfirmation({owner, date, clock}: Event & {kind: 'confirmed'}): void {
+	private handleConfirmation({owner, date, clock}: Event & {kind: 'confirmed'}, now: number): void {
 		// A date in the future is one of an earlier incarnation's clock. One that is too old would only end the leases of all others.
 		if (date - clock <= requestMaxAgeMs && clock - date <= this.leases.maxDateAgeMs) {
 			for (const active of this.confirmableRuns(owner)) {
 				active.date = date;
+				active.datedAt = now - (clock - date);
 			}
 		}
 	}
@@ -523,7 +526,7 @@
 		const run = {task: request.task, number: (this.runNumbers.get(request.task) ?? 0) + 1};
 		this.rememberNumber(run);
 		this.runs.set(request.task, {
-			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, date: request.sentAt, born: this.worker!.born, isAwaited: true,
+			run, request, phase: 'starting', orderedAt: now, renumberings: 0, hasBegun: false, date: request.sentAt, datedAt: now - (clock - request.sentAt), born: this.worker!.born, isAwaited: true,
 		});
 		actions.push({kind: 'start', run, request});
 	}
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -263,7 +263,8 @@
 		}
 
 		this.confirmUndated(link);
-		return this.guard.isOverdue(ownerOf(link), this.clockOfWorker.latestAt(this.clock.mono()));
+		const now = this.clock.mono();
+		return this.guard.isOverdue(ownerOf(link), this.clockOfWorker.latestAt(now), now);
 	}
 
 	beforeFlush(link: Link): void {
--- a/test/lease-histories.test.ts
+++ b/test/lease-histories.test.ts
@@ -193,6 +193,44 @@
 			kind: 'worker restart', hasSameName: false, at: 0, forMs: 1314, on: 0,
 		}],
 	],
+	[
+		'a start of an entry that has lost power, ordered by the clock of an earlier incarnation of the same name just before its sidecar reads that it ended',
+		[{
+			at: 600, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 1460, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 600, entry: 1, sidecar: 0, durationMs: 1000,
+		}],
+		[{
+			kind: 'power', role: 'entry', at: 1500, forMs: 991, on: 0,
+		}, {
+			kind: 'freeze', role: 'sidecar', at: 1201, forMs: 686, on: 0,
+		}, {
+			kind: 'worker restart', hasSameName: true, at: 1160, forMs: 41, on: 0,
+		}],
+		{
+			rate: 0.98, clock: 0, killMs: 49, callMs: 0,
+		},
+	],
+	[
+		'a start of an entry that has lost power, as above, at a slow worker',
+		[{
+			at: 2133, entry: 0, sidecar: 0, durationMs: 652,
+		}],
+		[{
+			kind: 'freeze', role: 'sidecar', at: 860, forMs: 1892, on: 0,
+		}, {
+			kind: 'worker restart', hasSameName: true, at: 2021, forMs: 80, on: 0,
+		}, {
+			kind: 'worker slow', eachMs: 25, at: 1683, forMs: 1071, on: 0,
+		}, {
+			kind: 'power', role: 'entry', at: 2143, forMs: 1113, on: 0,
+		}],
+		{
+			rate: 0.98, clock: 0, killMs: 49, callMs: 0,
+		},
+	],
 	[
 		'a run whose stop a slow entry sends in one block with a start for another caller',
 		[{
--- a/test/lease-model.ts
+++ b/test/lease-model.ts
@@ -395,7 +395,7 @@
 				pending.push({kind: 'stamp', stamp: this.stamp()});
 			},
 			isNeeded: () => this.guard.isNeededBy(owner),
-			isOverdue: () => this.guard.isOverdue(owner, this.clockOfWorker.latestAt(this.now)),
+			isOverdue: () => this.guard.isOverdue(owner, this.clockOfWorker.latestAt(this.now), this.now),
 		};
 	}
 
