Tests that hold up their process run one at a time

Cause: the tests of a file run at the same time in one process. Where "a sidecar refuses a start ..." holds it up for 800 ms while "the starts of an entry that takes a quarter of a second a turn" waits for its first start, that start is 1,040 to 1,389 ms old (2 of 3 runs at a load of 8 to 14), or its job is over without one.

Change: the tests of this file that hold up the process are serial. No check or bound is changed.

--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -20,6 +20,8 @@
 })]]))!;
 const body = JSON.stringify({spec: 'x', best_effort: true, steps: [{count: 1, cpu: 1}]});
 const submission = (id: string) => `POST /${id} HTTP/1.1\r\nhost: a.example\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+// The tests that hold up this process are serial: at the same time as others they would hold those up too.
+
 /** The age at which a sidecar refuses a start, in milliseconds. */
 const requestMaxAgeMs = 600;
 
@@ -76,7 +78,7 @@
 	t.deepEqual(starts, ['k.0', 'j.0']);
 });
 
-test('departed caller: a sidecar refuses a start whose entry has not read its sockets since callers may have left', async t => {
+test.serial('departed caller: a sidecar refuses a start whose entry has not read its sockets since callers may have left', async t => {
 	const {entries: [entry], driverMetrics: [meters]} = await startCluster(t, 1, 1);
 	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
 	// Goes on while the event loop handles input, so that it reads no sockets between the standstill and the start.
@@ -137,7 +139,7 @@
 	});
 `;
 
-test('departed caller: the starts of an entry that takes a quarter of a second a turn are not refused as stale', async t => {
+test.serial('departed caller: the starts of an entry that takes a quarter of a second a turn are not refused as stale', async t => {
 	const entry = await Dispatcher.create({
 		node: 'e', incarnation: 'e-1', address: '127.0.0.1:0', seeds: [],
 	}, systemClock, silentLog, DispatcherMetrics.create());
