A sidecar that stood still starts nothing until its worker has answered

Cause, by a trace: a sidecar that stood still for 0.8 s reads a start before it reads that its worker has started again under its name. It grants the lease by the clock of the earlier incarnation, which the new one takes for its longest, a second from the order; the start may be 0.6 s old by then, and where stops go unanswered nothing ends the run sooner.

Change: from a standstill of 250 ms on, starts are refused as unsettled until a poll that was sent since then is answered. A stale start is still told as stale.

--- a/src/decide/guard.ts
+++ b/src/decide/guard.ts
@@ -60,6 +60,8 @@
 		| {kind: 'reported'; worker: Worker; clock?: number}
 	/** Another incarnation has reported. `isOpen`: the worker has neither confirmed nor contradicted it yet. */
 		| {kind: 'restartReported'; isOpen: boolean}
+	/** This process stood still, so that it may not have read yet that the worker has started again. */
+		| {kind: 'stoodStill'}
 	/** `clock` is the worker's clock when the notice arrived. The notice names no start, so that it may be a late one of an earlier incarnation of the same name: a report made after it shows that the worker is there. */
 		| {kind: 'left'; incarnation: string; clock?: number}
 		| {kind: 'started'; run: RunId; reply: Reply}
@@ -170,6 +172,8 @@
 	private mayHaveOrphans = true;
 	/** Whether a report of another incarnation waits for confirmation. */
 	private mayHaveRestarted = false;
+	/** When this process last woke from a standstill; undefined once a poll sent since then was answered. */
+	private unconfirmedSince?: number;
 	private isZoneOut = false;
 	private isStopping = false;
 	/** The worker's clock when the current incarnation was found to have left; undefined while it has not. */
@@ -189,12 +193,12 @@
 
 	/** Whether polls are needed, to renew leases, collect ends or find out whether the worker answers again. */
 	get needsPolling(): boolean {
-		return this.runs.size > 0 || this.mayHaveOrphans || this.orphanRuns.size > 0 || this.unansweredPolls > 0 || this.hasRefusedConnection;
+		return this.runs.size > 0 || this.mayHaveOrphans || this.orphanRuns.size > 0 || this.unansweredPolls > 0 || this.hasRefusedConnection || this.unconfirmedSince !== undefined;
 	}
 
-	/** Whether the state of some run is unknown or about to change: orphans, unanswered starts, stops. */
+	/** Whether the state of some run is unknown or about to change: orphans, unanswered starts, stops, all after a standstill. */
 	get hasUnresolvedRuns(): boolean {
-		return this.mayHaveOrphans || this.orphanRuns.size > 0 || [...this.runs.values()].some(({phase}) => phase === 'unsettled' || phase === 'stopping');
+		return this.mayHaveOrphans || this.unconfirmedSince !== undefined || this.orphanRuns.size > 0 || [...this.runs.values()].some(({phase}) => phase === 'unsettled' || phase === 'stopping');
 	}
 
 	/** The number of runs that hold capacity. */
@@ -371,9 +375,10 @@
 			}
 
 			case 'restartReported':
+			case 'stoodStill':
 			case 'zone':
 			case 'stopping': {
-				this.setCondition(event);
+				this.setCondition(event, now);
 				break;
 			}
 		}
@@ -399,13 +404,18 @@
 	}
 
 	/** Sets one of the conditions under which nothing starts. */
-	private setCondition(event: Event & {kind: 'restartReported' | 'zone' | 'stopping'}): void {
+	private setCondition(event: Event & {kind: 'restartReported' | 'stoodStill' | 'zone' | 'stopping'}, now: number): void {
 		switch (event.kind) {
 			case 'restartReported': {
 				this.mayHaveRestarted = event.isOpen;
 				break;
 			}
 
+			case 'stoodStill': {
+				this.unconfirmedSince = now;
+				break;
+			}
+
 			case 'zone': {
 				this.isZoneOut = event.out;
 				break;
@@ -537,6 +547,10 @@
 			return 'stale';
 		}
 
+		if (this.unconfirmedSince !== undefined) {
+			return 'unsettled';
+		}
+
 		if (this.runs.has(request.task)) {
 			return 'duplicate';
 		}
@@ -807,6 +821,10 @@
 
 	private handleListing(result: PollResult & {kind: 'seen'}, sentAt: number, now: number, actions: Action[]): void {
 		this.workerAnswered();
+		if (this.unconfirmedSince !== undefined && sentAt >= this.unconfirmedSince) {
+			this.unconfirmedSince = undefined;
+		}
+
 		const listed = new Map(result.running.map(run => [run.task, run]));
 		const isListed = ({run}: ActiveRun): boolean => listed.get(run.task)?.number === run.number;
 		if (this.worker && result.born > this.worker.born) {
--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -57,6 +57,9 @@
 const maxPauseFactor = 6;
 /** How often an entry without a link is dialled, in milliseconds. */
 const redialMs = 250;
+/** How often this process looks whether it stood still, and from when it did, in milliseconds: the worker reports itself about as often. */
+const tickMs = 50;
+const standstillMs = 250;
 /** The number of labels that entries use: the kind and the rack. */
 const reportedLabels = 2;
 /** How far the time at which the worker leaves may move without a new report to the entries, in milliseconds. */
@@ -118,6 +121,9 @@
 	/** The zones out of service as the entry of a link told them, at a version of the store. */
 	private zones: {asOf: number; out: readonly string[]; link?: Link} = {asOf: 0, out: []};
 	private closed = false;
+	/** When this process was last seen to run, and what looks. */
+	private tickedAt: number;
+	private readonly ticker: NodeJS.Timeout;
 
 	private readonly leases: LeaseBounds;
 	private readonly clock: Clock;
@@ -151,6 +157,10 @@
 				},
 			},
 		});
+		this.tickedAt = this.clock.mono();
+		this.ticker = setInterval(() => {
+			this.checkStandstill();
+		}, tickMs);
 		this.addAddresses(settings.seeds, true);
 		this.book.open();
 		void this.pollWhileNeeded();
@@ -186,6 +196,7 @@
 		}
 
 		this.closed = true;
+		clearInterval(this.ticker);
 		this.book.close();
 		this.links.close();
 		this.wake.resolve();
@@ -423,9 +434,24 @@
 		this.reportPlace(link);
 	}
 
+	/**
+	 * Notices that this process stood still. What it reads first then may be a start, before the report that the worker has started again meanwhile: the
+	 * start would be dated by the earlier incarnation's clock, and its run could outlive its caller.
+	 */
+	private checkStandstill(): void {
+		const now = this.clock.mono();
+		const stoodMs = now - this.tickedAt;
+		this.tickedAt = now;
+		if (stoodMs > standstillMs) {
+			this.log.warn({event: 'standstill', forMs: Math.round(stoodMs)}, 'stood still, nothing starts until the worker has answered');
+			this.apply({kind: 'stoodStill'});
+		}
+	}
+
 	private handleRequest(message: MessageToSidecar, link: Link): void {
 		switch (message.kind) {
 			case 'start': {
+				this.checkStandstill();
 				this.confirmCallers(link, this.clockOfWorker.clockOf(message.stamp + message.age));
 				if (areAmounts(message.room)) {
 					this.handleStart(message, link);
--- a/test/departed-caller.test.ts
+++ b/test/departed-caller.test.ts
@@ -92,6 +92,19 @@
 	t.true(values.some(({labels: {why}, value}) => why === 'stale' && value > 0));
 });
 
+// Guards against a start that is dated by the clock of an incarnation of the worker that has ended while its sidecar stood still.
+test.serial('departed caller: a sidecar that stood still starts nothing until its worker has answered', async t => {
+	const {entries: [entry], driverMetrics: [meters]} = await startCluster(t, 1, 1);
+	await waitUntil(() => entry!.schedule.placeCounts.open === 1);
+	for (const until = systemClock.mono() + (requestMaxAgeMs / 2); systemClock.mono() < until;) {
+		// Both stand still, the entry not for long enough to make its start stale.
+	}
+
+	t.deepEqual(await submit(entry!, createJob('j', 1)), {kind: 'completed'});
+	const {values} = await meters!.refusedRequests.get();
+	t.deepEqual(values.map(({labels: {why}}) => why), ['unsettled']);
+});
+
 // Guards against a run that outlives its caller because the date of a start that goes first confirms it once more.
 test('departed caller: the stop of its run goes before the starts of other callers in the same turn', async t => {
 	const entry = await Dispatcher.create({
--- a/test/guard.test.ts
+++ b/test/guard.test.ts
@@ -85,6 +85,8 @@
 	['a task that already runs is refused', [...ready, requested(), requested({ref: 2, owner: 'e1'})], [refuse('duplicate', 2)]],
 	['a request that is too old is refused', [...ready, requested({}, requestMaxAgeMs + 1)], [refuse('stale')]],
 	['a request dated by the clock of an earlier incarnation is refused', [...ready, requested({sentAt: 480_000}, 3000)], [refuse('stale')]],
+	['nothing starts after a standstill until a poll sent since then was answered', [...ready, {kind: 'stoodStill'}, polled({}, -1), requested()], [refuse('unsettled')]],
+	['tasks start once it was', [...ready, {kind: 'stoodStill'}, polled({}, 0), requested()], [{kind: 'start', run: run(), request: request()}]],
 	['nothing starts at a draining worker', [...ready, {kind: 'reported', worker: worker({draining: true})}, requested()], [refuse('draining')]],
 	['a late report does not end a drain', [...ready, {kind: 'reported', worker: worker({draining: true})}, reported, requested()], [refuse('draining')]],
 	['nothing starts at a worker that left', [...ready, {kind: 'left', incarnation: 'w1'}, requested()], [refuse('absent')]],
--- a/test/lease-histories.test.ts
+++ b/test/lease-histories.test.ts
@@ -231,6 +231,25 @@
 			rate: 0.98, clock: 0, killMs: 49, callMs: 0,
 		},
 	],
+	[
+		'a start of an entry that was killed, as above, at a worker that answers no stops',
+		[{
+			at: 600, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 1460, entry: 0, sidecar: 0, durationMs: 1000,
+		}, {
+			at: 600, entry: 1, sidecar: 0, durationMs: 1000,
+		}],
+		[{
+			kind: 'kill', role: 'entry', at: 1500, forMs: 500, on: 0,
+		}, {
+			kind: 'stops', how: 'lost', at: 1300, forMs: 1391, on: 0,
+		}, {
+			kind: 'freeze', role: 'sidecar', at: 900, forMs: 909, on: 0,
+		}, {
+			kind: 'worker restart', hasSameName: true, at: 813, forMs: 389, on: 0,
+		}],
+	],
 	[
 		'a run whose stop a slow entry sends in one block with a start for another caller',
 		[{
--- a/test/lease-model.ts
+++ b/test/lease-model.ts
@@ -67,6 +67,8 @@
 const {longestMs, resubmitMs} = defaultLeaseBounds;
 const tickMs = 20;
 const inputLagMs = 2 * tickMs;
+const sidecarTickMs = 50;
+const standstillMs = 250;
 const checkMs = 100;
 const redialMs = 250;
 /** How long an entry waits before it starts the tasks of a lost link again, in milliseconds. */
@@ -314,10 +316,15 @@
 	private isPolling = false;
 	/** The pause before the next poll, if there is one now. */
 	private pause?: {until: number};
+	private tickedAt: number;
 	private readonly durations = new Map<string, {durationMs: number; submission: number}>();
 
 	private constructor(private readonly world: World, private readonly number: number) {
 		this.process = Process.create(world.timeline);
+		this.tickedAt = this.now;
+		this.process.repeat(sidecarTickMs, () => {
+			this.checkStandstill();
+		});
 		this.process.repeat(checkMs, () => {
 			for (const link of this.links.values()) {
 				link.check();
@@ -406,6 +413,7 @@
 			}
 
 			case 'start': {
+				this.checkStandstill();
 				const {ref, job, date, durationMs, submission} = message;
 				const request: RunRequest = {
 					owner, ref, task: String(job), resources: task, spec: '', sentAt: this.clockOfWorker.clockOf(date),
@@ -430,6 +438,14 @@
 		}
 	}
 
+	private checkStandstill(): void {
+		const stoodMs = this.now - this.tickedAt;
+		this.tickedAt = this.now;
+		if (stoodMs > standstillMs) {
+			this.apply({kind: 'stoodStill'});
+		}
+	}
+
 	private confirm(owner: string, date: number): void {
 		this.apply({
 			kind: 'confirmed', owner, date: this.clockOfWorker.clockOf(date), clock: this.clockOfWorker.latestAt(this.now),
