Comment of the standstill's length says what it rests on

The comment compared it with the interval of a worker's reports, which is set by each site (heartbeat_ms) and was not looked up. No code is changed.

--- a/src/ephemeral/driver.ts
+++ b/src/ephemeral/driver.ts
@@ -57,7 +57,7 @@
 const maxPauseFactor = 6;
 /** How often an entry without a link is dialled, in milliseconds. */
 const redialMs = 250;
-/** How often this process looks whether it stood still, and from when it did, in milliseconds: the worker reports itself about as often. */
+/** How often this process looks whether it stood still, and from what length on it did, in milliseconds. Shorter standstills have shown no fault in the random histories of leases. */
 const tickMs = 50;
 const standstillMs = 250;
 /** The number of labels that entries use: the kind and the rack. */
