Stamps of the first known worker are its clock again

Cause: to tell stamps from before any worker is known from later ones, the first incarnation's stamps had been moved up by 10 s.

Change: instead, the stamp from before any worker is known is 10 s below the lowest clock. All other stamps are as before.

--- a/src/decide/worker-clock.ts
+++ b/src/decide/worker-clock.ts
@@ -24,11 +24,10 @@
 
 	private newest: Reading = {clock: 0, at: 0};
 	private highest: Reading = {clock: 0, at: 0};
-	/** Added to the clock in stamps, so that no date of an earlier incarnation, or from before any was known, is taken for one of this. */
+	/** Added to the clock in stamps, so that no date of an earlier incarnation is taken for one of this. */
 	private stampOffset = 0;
-	private highestStamp = 0;
-	/** Whether an incarnation is known. Until then stamps are 0. */
-	private isKnown = false;
+	/** The highest stamp so far; undefined before the first incarnation is known. */
+	private highestStamp?: number;
 
 	private constructor() {
 		// Created by `create`.
@@ -36,9 +35,8 @@
 
 	/** The worker has started again, and its clock with it. */
 	restart(clock: number, now: number): void {
-		this.stampOffset = Math.max(0, Math.ceil(this.highestStamp + stampGapMs - clock));
-		this.highestStamp = Math.max(clock, this.highestStamp);
-		this.isKnown = true;
+		this.stampOffset = this.highestStamp === undefined ? 0 : Math.max(0, Math.ceil(this.highestStamp + stampGapMs - clock));
+		this.highestStamp = Math.max(clock, this.highestStamp ?? clock);
 		this.newest = {clock, at: now};
 		this.highest = this.newest;
 	}
@@ -58,10 +56,10 @@
 		}
 	}
 
-	/** Returns the clock as a stamp, which no other incarnation has; 0 before the first is known. */
+	/** Returns the clock as a stamp, which no other incarnation has. Before the first is known it is so low that no date by it is a young one of that incarnation. */
 	stampAt(now: number): number {
-		if (!this.isKnown) {
-			return 0;
+		if (this.highestStamp === undefined) {
+			return -stampGapMs;
 		}
 
 		const stamp = this.valueAt(now) + this.stampOffset;
