--- a/review/standin-2/deployment.js
+++ b/review/standin-2/deployment.js
@@ -32,7 +32,8 @@
 const limitMs = 110_000;
 const zones = ['z1', 'z2', 'z3'];
 const service = 'press';
-const host = 'press.example';
+/** The host of the routes. */
+export const host = 'press.example';
 
 /** Case is the record of one run of a case and what it ends with. */
 export class Case {
