--- a/review/standin-2/minion.js
+++ b/review/standin-2/minion.js
@@ -45,6 +45,8 @@
 	state = 'ready';
 	waiting = new Set();
 	isUp = true;
+	/** Whether this boot has been called. */
+	isCalled = false;
 	/** The number of failed runs so far, by task. */
 	failures = new Map();
 	agent = new Agent({keepAlive: true});
@@ -169,6 +171,7 @@
 		}
 
 		this.isUp = false;
+		this.isCalled = false;
 		this.running.clear();
 		this.endedRuns.clear();
 		this.waiting.clear();
@@ -217,6 +220,11 @@
 	}
 
 	carryOut(request, response, text) {
+		if (!this.isCalled && response !== unheard) {
+			this.isCalled = true;
+			this.options.note('first call of a boot', {minion: this.options.name, url: request.url});
+		}
+
 		const body = JSON.parse(text || '{}');
 		const target = request.headers['x-target-instance'];
 		if (target !== undefined && target !== this.id) {
