--- a/review/standin-2/minion.js
+++ b/review/standin-2/minion.js
@@ -194,14 +194,14 @@
 		}, downMs);
 	}
 
-	/** Carries out the next start that arrives `delayMs` later and leaves it unanswered. `taken` is called when it arrives. */
-	delayStart(delayMs, taken) {
-		this.delay = {delayMs, taken};
+	/** Carries out the next start of a task `delayMs` later and leaves it unanswered. `taken` is called when it arrives. */
+	delayStart(task, delayMs, taken) {
+		this.delay = {task, delayMs, taken};
 	}
 
 	handle(request, response, text) {
 		const {delay} = this;
-		if (delay && request.url === '/sniperidge/run-start') {
+		if (delay && request.url === '/sniperidge/run-start' && JSON.parse(text).task === delay.task) {
 			const {task, run, fence, deadline_ms: deadline} = JSON.parse(text);
 			this.options.note('start left unanswered', {
 				minion: this.options.name, task, run, fence, deadline, clock: this.clock,
