--- a/test/malformed.test.ts
+++ b/test/malformed.test.ts
@@ -317,7 +317,7 @@
 			failed(life) {
 				failed.push(life);
 			},
-		});
+		}, {clock: systemClock, log: pino({level: 'silent'})});
 		t.teardown(() => {
 			server.close();
 		});
