Limit the requests of a connection that wait for their answers

Cause: all requests that have arrived on a connection are parsed at once, 64 KiB of them at a time, and each takes some 5 KB until its answer has been taken. Clients that pipeline and don't read ended the process.

Change: at most 8 requests of a connection, and 4,096 of all, wait for their answers; a connection with more is closed, without a refusal that could be wrong. Closing it is not enough: Node.js goes on to parse what has arrived, and keeps it until all sockets have been read. The surplus request therefore shows itself as a CONNECT without a listener, upon which Node.js stops parsing.

--- a/src/adapters/limited-server.ts
+++ b/src/adapters/limited-server.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+	createServer, IncomingMessage, type RequestListener, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Logger} from 'pino';
@@ -8,6 +8,12 @@
 
 /** How often connections are checked, in milliseconds. */
 const checkMs = 500;
+/** The most requests of one connection that wait for their answers: clients that pipeline at all send a few. */
+const maxPipelined = 8;
+/** The most requests of all connections that wait for their answers. A request takes some 5 KB beside its body. */
+const maxRequests = 4096;
+/** The listeners that a connection has beside those of its requests. */
+const usualListeners = 10;
 /** How long a connection stays open for a further request, in milliseconds. */
 const keptMs = 60_000;
 
@@ -24,8 +30,8 @@
 /** How long the body of a request may take, in milliseconds: as long as a caller waits that does not say how long. */
 const bodyMs = 30_000;
 
-/** What a connection was closed for: it was overdue in a phase, or gave way to another one. */
-type Closing = Phase | 'displaced';
+/** What a connection was closed for: it was overdue in a phase, gave way to another one, or had too many requests at once. */
+type Closing = Phase | 'displaced' | 'pipelined' | 'refused';
 
 export type LimitedServerOptions = {
 	/** What the server is for, as it is logged. */
@@ -43,7 +49,7 @@
 
 /**
  * Creates an HTTP server that closes the connections of clients that hold it up: those that finish neither a request nor
- * the reading of an answer in time, and that are more than the process has
+ * the reading of an answer in time, that send many requests before they read, and that are more than the process has
  * descriptors for. A connection whose request waits for its answer is not closed.
  */
 export function createLimitedServer({
@@ -52,16 +58,40 @@
 	const table = ConnectionTable.create<Socket>(maxConnections);
 	const known = new Map<Socket, Known>();
 	let closings: Partial<Record<Closing, number>> = {};
+	/** The requests of all connections in hand. */
+	let requests = 0;
 
-	function close(socket: Socket, why: Closing): void {
+	function count(why: Closing): void {
 		closings[why] = (closings[why] ?? 0) + 1;
+	}
+
+	function close(socket: Socket, why: Closing): void {
+		count(why);
 		socket.destroy();
 	}
 
+	/**
+	 * A request, as it is parsed. All that have arrived on a connection are parsed at once, and each takes memory until
+	 * the connection is closed. One too many therefore shows itself as a CONNECT, for which there is no listener: Node.js
+	 * parses no further and closes the connection.
+	 */
+	class CountedRequest extends IncomingMessage {
+		constructor(socket: Socket) {
+			super(socket);
+			const pending = known.get(socket)?.requests ?? 0;
+			if (pending >= maxPipelined || (pending > 0 && requests >= maxRequests)) {
+				count('pipelined');
+				Object.defineProperties(this, {method: fixedProperty('CONNECT'), upgrade: fixedProperty(true)});
+			}
+		}
+	}
+
 	const server = createServer({
 		keepAliveTimeout: keptMs,
 		requestTimeout: 0,
 		headersTimeout: 0,
+		// eslint-disable-next-line @typescript-eslint/naming-convention -- the name of an option of Node.js
+		IncomingMessage: CountedRequest,
 	}, (request, response) => {
 		const {socket} = request;
 		const connection = known.get(socket);
@@ -69,7 +99,14 @@
 			return;
 		}
 
+		if (requests >= maxRequests) {
+			// Without a look at the request, a refusal could wrongly say that nothing of it has run.
+			close(socket, 'refused');
+			return;
+		}
+
 		connection.requests++;
+		requests++;
 		connection.response = response;
 		if (hasBody(request)) {
 			table.enter(socket, 'body', clock.mono());
@@ -89,6 +126,7 @@
 			}
 
 			connection.requests--;
+			requests--;
 			if (connection.requests === 0) {
 				connection.read = socket.bytesRead;
 				table.enter(socket, 'kept', clock.mono());
@@ -99,9 +137,11 @@
 	server.on('connection', (socket: Socket) => {
 		const connection: Known = {read: 0, written: 0, requests: 0};
 		known.set(socket, connection);
+		socket.setMaxListeners(maxPipelined + usualListeners);
 		socket.once('close', () => {
 			table.delete(socket);
 			known.delete(socket);
+			requests -= connection.requests;
 		});
 		const displaced = table.open(socket, clock.mono());
 		if (displaced) {
@@ -165,6 +205,11 @@
 	return server;
 }
 
+/** A property that keeps its value whatever it is set to. */
+function fixedProperty(value: unknown): PropertyDescriptor {
+	return {get: () => value, set: () => undefined};
+}
+
 function hasBody({headers}: IncomingMessage): boolean {
 	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 }
