--- a/src/decide/schedule/jobs.ts
+++ b/src/decide/schedule/jobs.ts
@@ -9,6 +9,9 @@
 		return new Jobs();
 	}
 
+	/** The number of tasks of all jobs. */
+	taskCount = 0;
+
 	private readonly byId = new Map<string, ActiveJob>();
 	/** The jobs with waiting tasks, by pool. */
 	private readonly waitingByPool = new Map<string, Set<ActiveJob>>();
@@ -40,6 +43,7 @@
 	add(activeJob: ActiveJob): void {
 		this.delete(activeJob.job.id);
 		this.byId.set(activeJob.job.id, activeJob);
+		this.taskCount += activeJob.tasks.length;
 		this.refresh(activeJob);
 	}
 
@@ -47,6 +51,7 @@
 		const activeJob = this.byId.get(id);
 		if (activeJob) {
 			this.byId.delete(id);
+			this.taskCount -= activeJob.tasks.length;
 			this.waitingByPool.get(activeJob.job.pool)?.delete(activeJob);
 			this.setPending(activeJob, false);
 		}
--- a/src/decide/schedule/schedule.ts
+++ b/src/decide/schedule/schedule.ts
@@ -92,6 +92,11 @@
 		return this.jobs.size;
 	}
 
+	/** The number of tasks of all jobs under way, those that have ended included. */
+	get taskCount(): number {
+		return this.jobs.taskCount;
+	}
+
 	/** The number of places with a link, and of those that are open to work: no reason against it reported, and in an available zone. */
 	get placeCounts(): {linked: number; open: number} {
 		return this.places.counts;
