Limit what the links keep of messages that are not whole

Cause: the limit of 16 MB for a line held for each connection, before its hello too, and nothing bounded the sum. Each piece of a line was kept as an object, with the whole chunk that it came in. A hello was decoded by its schema whatever its length: one of seven million features took 274 MB.

Change: the pieces of a line and the parts of a message are kept in one buffer each; all links together keep at most a sixteenth of the memory, and the one that keeps the most is ended (`displaced`). Before the hello a line has at most 2 MB, and only a hello or a heartbeat is decoded. A field has at most 10,000 entries.

--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -8,6 +8,7 @@
 import {LoopDelay, type EntryLoad} from '../decide/overload.js';
 import type {Release} from '../decide/reservation.js';
 import {areAmounts, type Resources} from '../decide/resources.js';
+import type {StrangerLimits} from '../decide/stranger-limits.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -34,6 +35,8 @@
 	seeds: readonly string[];
 	/** The scheduling policy; absent for the default. */
 	policy?: PolicySettings;
+	/** What other processes may take of this one; absent for a usual machine. */
+	limits?: StrangerLimits;
 	/** How many times as long a task takes on another rack than that of its data; absent where racks make no difference. */
 	farFactor?: number;
 };
@@ -134,7 +137,7 @@
 		this.schedule = Schedule.create(schedulePolicyOf(settings));
 		this.address = settings.address;
 		this.tickedAt = clock.mono();
-		this.links = Links.create(clock, this);
+		this.links = Links.create(clock, this, settings.limits);
 		this.states = StateExchange.create({
 			clock,
 			log,
--- a/src/ephemeral/frames.ts
+++ b/src/ephemeral/frames.ts
@@ -2,6 +2,7 @@
 import type * as msgpackr from 'msgpackr';
 // This part of the library loads no native add-on, so that it can be bundled. Its own types can't be resolved.
 import * as msgpackrPack from 'msgpackr/pack';
+import {GrowableBuffer} from '../growable-buffer.js';
 
 const library = msgpackrPack as unknown as typeof msgpackr;
 
@@ -52,18 +53,23 @@
 	isBinary = false;
 
 	/** What has arrived of a block that is not whole yet. */
-	private held: Uint8Array[] = [];
-	private heldBytes = 0;
+	private readonly held = GrowableBuffer.create();
 	/** The length of the frame whose prefix has been read. */
 	private frameBytes?: number;
 
-	private constructor(private readonly limitBytes: number) {}
+	/** `limitBytes` may be changed between blocks. */
+	private constructor(public limitBytes: number) {}
+
+	/** The memory that a block takes which is not whole yet, in bytes. */
+	get heldBytes(): number {
+		return this.held.capacity;
+	}
 
 	/** Yields the content of the blocks that a chunk completes. Throws if a block is empty or exceeds the limit. */
 	* read(chunk: Uint8Array): Generator<Uint8Array, void> {
 		let rest = chunk;
 		while (rest.length > 0) {
-			const missing = this.isBinary ? (this.frameBytes ?? prefixBytes) - this.heldBytes : rest.indexOf(lineFeed);
+			const missing = this.isBinary ? (this.frameBytes ?? prefixBytes) - this.held.length : rest.indexOf(lineFeed);
 			if (missing === -1 || missing > rest.length) {
 				this.hold(rest);
 				return;
@@ -83,11 +89,11 @@
 	}
 
 	private hold(part: Uint8Array): void {
-		this.held.push(part);
-		this.heldBytes += part.length;
-		if (this.heldBytes > this.limitBytes) {
+		if (this.held.length + part.length > this.limitBytes) {
 			throw new Error(`a line of more than ${this.limitBytes} bytes`);
 		}
+
+		this.held.append(part);
 	}
 
 	private complete(end: Uint8Array): Uint8Array {
@@ -95,10 +101,8 @@
 			return end;
 		}
 
-		const block = Buffer.concat([...this.held, end]);
-		this.held = [];
-		this.heldBytes = 0;
-		return block;
+		this.held.append(end);
+		return this.held.take();
 	}
 
 	private frameLength(prefix: Uint8Array): number {
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -1,13 +1,15 @@
 import {
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import {ByteBudget} from '../decide/byte-budget.js';
+import {divideLimits, type StrangerLimits} from '../decide/stranger-limits.js';
 import type {Clock} from '../ports/clock.js';
 import {
-	BlockReader, createMsgpackFrames, jsonLines, type Codec,
+	BlockReader, blockLimitBytes, createMsgpackFrames, jsonLines, type Codec,
 } from './frames.js';
 import {IncomingParts, OutgoingParts} from './parts.js';
 import {
-	decodeMessage, isLinkMessage, type Feature, type Hello, type LinkMessage, type Message, type ReceivedMessage,
+	decodeMessage, isLinkMessage, kindOf, maxNameLength, type Feature, type Hello, type LinkMessage, type Message, type ReceivedMessage,
 } from './messages.js';
 
 /** How often a side with nothing else to send sends a heartbeat while the link is needed, in milliseconds. */
@@ -24,11 +26,14 @@
 /** The unsent data above which a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
 
+/** The longest block of messages of a process that has connected and not said hello, in bytes. */
+const helloBytes = 2_000_000;
+
 /** While more than this is unsent, no further part of a long message is written, in bytes. */
 const partBacklogBytes = 16_000;
 
-/** Why a link ended: `released` if this side no longer needs it, `overdue` if its receiver found it so, `failed` if one of its messages could not be handled. */
-export type LinkEndReason = 'closed' | 'released' | 'silent' | 'overdue' | 'stuck' | 'malformed' | 'failed';
+/** Why a link ended: `released` if this side no longer needs it, `overdue` if its receiver found it so, `failed` if one of its messages could not be handled, `displaced` if all links together took too much memory. */
+export type LinkEndReason = 'closed' | 'released' | 'silent' | 'overdue' | 'stuck' | 'malformed' | 'failed' | 'displaced';
 
 /** The bytes received and sent on links, by the role of the other side; before its hello it is a stranger. */
 export type LinkTraffic = Record<Hello['role'] | 'stranger', {in: number; out: number}>;
@@ -48,7 +53,16 @@
 	isOverdue?(link: Link): boolean;
 };
 
-export type LinkDependencies = {clock: Clock; receiver: Receiver; traffic: LinkTraffic; ended(link: Link): void};
+export type LinkDependencies = {
+	clock: Clock;
+	receiver: Receiver;
+	traffic: LinkTraffic;
+	/** Whether the other side has opened the connection. */
+	isAccepted: boolean;
+	ended(link: Link): void;
+	/** Called with the memory that the messages take which are not whole yet, in bytes, when that has changed. */
+	held(link: Link, bytes: number): void;
+};
 
 /**
  * Link is an ordered, long-lived connection between two processes of the system. The messages of one turn of the
@@ -76,6 +90,8 @@
 	private ownFeatures: readonly string[] = [];
 	private receivedAt: number;
 	private sentAt: number;
+	/** The memory that was last passed to `held`. */
+	private heldBytes = 0;
 	/** Since when this side has needed the link, and until when the other side may need it. */
 	private neededSince?: number;
 	private neededUntil = 0;
@@ -91,15 +107,16 @@
 	private readonly clock: Clock;
 	private readonly receiver: Receiver;
 	private readonly traffic: LinkTraffic;
-	private readonly onEnd: (link: Link) => void;
 
-	private constructor(private readonly socket: Socket, dependencies: LinkDependencies) {
-		({
-			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: this.onEnd,
-		} = dependencies);
+	private constructor(private readonly socket: Socket, private readonly dependencies: LinkDependencies) {
+		({clock: this.clock, receiver: this.receiver, traffic: this.traffic} = dependencies);
 		const {clock} = this;
 		this.remoteAddress = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
 		this.receivedAt = clock.mono();
+		if (dependencies.isAccepted) {
+			this.reader.limitBytes = helloBytes;
+		}
+
 		this.sentAt = this.receivedAt;
 		socket.setNoDelay(true);
 		socket.on('data', chunk => {
@@ -264,6 +281,16 @@
 		} catch (error) {
 			this.end('malformed', (error as Error).message);
 		}
+
+		this.noteHeld();
+	}
+
+	private noteHeld(): void {
+		const bytes = this.hasEnded ? 0 : this.reader.heldBytes + this.incomingParts.heldBytes;
+		if (bytes !== this.heldBytes) {
+			this.heldBytes = bytes;
+			this.dependencies.held(this, bytes);
+		}
 	}
 
 	private readMessages(values: unknown): void {
@@ -282,6 +309,12 @@
 	}
 
 	private readMessage(value: unknown): void {
+		const kind = this.peer ? undefined : kindOf(value);
+		if (kind !== undefined && !isBeforeHello(kind)) {
+			this.end('malformed', `${kind.slice(0, maxNameLength)} before hello`);
+			return;
+		}
+
 		const reading = decodeMessage(value);
 		switch (reading.kind) {
 			case 'message': {
@@ -302,9 +335,8 @@
 	}
 
 	private take(message: Message): void {
-		// A side that waits for a hello sends heartbeats too.
-		if (message.kind !== 'beat' && (message.kind === 'hello') !== (this.peer === undefined)) {
-			this.end('malformed', this.peer ? 'a second hello' : `${message.kind} before hello`);
+		if (message.kind === 'hello' && this.peer) {
+			this.end('malformed', 'a second hello');
 			return;
 		}
 
@@ -313,7 +345,11 @@
 			return;
 		}
 
-		this.peer = message.kind === 'hello' ? message : this.peer;
+		if (message.kind === 'hello') {
+			this.peer = message;
+			this.reader.limitBytes = blockLimitBytes;
+		}
+
 		this.deliver(message);
 	}
 
@@ -393,25 +429,34 @@
 
 		this.hasEnded = true;
 		this.socket.destroy();
-		this.onEnd(this);
+		this.noteHeld();
+		this.dependencies.ended(this);
 		this.receiver.linkEnded(this, why, problem);
 	}
 }
 
+/** Returns whether a message may come before the hello. A side that waits for one sends heartbeats. */
+function isBeforeHello(kind: string): boolean {
+	return kind === 'hello' || kind === 'beat';
+}
+
 /** Links holds all links of one process, with one timer for all of them. */
 export class Links {
-	static create(clock: Clock, receiver: Receiver): Links {
-		return new Links(clock, receiver);
+	/** `limits` is what other processes may take of this one; absent for a usual machine. */
+	static create(clock: Clock, receiver: Receiver, limits = divideLimits({})): Links {
+		return new Links(clock, receiver, limits);
 	}
 
 	/** The bytes of all links since the start, ended ones included. */
 	readonly traffic: LinkTraffic = {entry: {in: 0, out: 0}, sidecar: {in: 0, out: 0}, stranger: {in: 0, out: 0}};
 
 	private readonly open = new Set<Link>();
+	private readonly held: ByteBudget<Link>;
 	private readonly timer: NodeJS.Timeout;
 	private server?: Server;
 
-	private constructor(private readonly clock: Clock, private readonly receiver: Receiver) {
+	private constructor(private readonly clock: Clock, private readonly receiver: Receiver, limits: StrangerLimits) {
+		this.held = ByteBudget.create(limits.receivedBytes);
 		this.timer = setInterval(() => {
 			for (const link of this.open) {
 				link.checkLiveness();
@@ -453,7 +498,7 @@
 			});
 			socket.once('connect', () => {
 				clearTimeout(timer);
-				resolve(this.add(socket));
+				resolve(this.add(socket, false));
 			});
 		});
 	}
@@ -462,7 +507,7 @@
 	async listen(address: string): Promise<string> {
 		const [host, port] = splitAddress(address);
 		const server = createServer(socket => {
-			this.add(socket);
+			this.add(socket, true);
 		});
 		this.server = server;
 		return new Promise((resolve, reject) => {
@@ -482,11 +527,21 @@
 		}
 	}
 
-	private add(socket: Socket): Link {
+	private add(socket: Socket, isAccepted: boolean): Link {
 		const link = Link.create(socket, {
-			clock: this.clock, receiver: this.receiver, traffic: this.traffic, ended: ended => {
+			clock: this.clock,
+			receiver: this.receiver,
+			traffic: this.traffic,
+			isAccepted,
+			ended: ended => {
 				this.open.delete(ended);
 			},
+			held: (holder, bytes) => {
+				this.held.set(holder, bytes);
+				for (const displaced of this.held.takeDisplaced()) {
+					displaced.close('displaced');
+				}
+			},
 		});
 		this.open.add(link);
 		return link;
--- a/src/ephemeral/messages.ts
+++ b/src/ephemeral/messages.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 import type {StartRefusal} from '../decide/guard.js';
 import {maxReleases} from '../decide/reservation.js';
+import {describeIssues} from '../issues.js';
 import {asFrequent} from './frequent.js';
 
 const room = z.object({cpu: z.number(), memoryMb: z.number(), accelerators: z.number()});
@@ -19,6 +20,10 @@
 /** The longest name of a node, an incarnation, an address or a feature, in characters, and the most features: hellos are logged. */
 export const maxNameLength = 256;
 const maxFeatures = 64;
+/** The longest list in a field of a message. */
+const maxListLength = 10_000;
+/** Returns whether a value is a list of texts. A schema of the list would name each fault. */
+const areTexts = (value: unknown): boolean => Array.isArray(value) && value.every(text => typeof text === 'string');
 const name = z.string().max(maxNameLength);
 
 /** What a side can do beyond the first version of the links. A feature is used on a link only if both hellos name it. */
@@ -56,7 +61,7 @@
 		report: z.object({
 			zone: z.string(), pool: z.string(), room, others: room, isFailing: z.boolean(), hindrance: hindrance.optional(),
 			/** The worker's kind and rack, by position. */
-			labels: z.array(z.string()).readonly().optional(),
+			labels: z.custom<readonly string[]>(areTexts, 'expected a list of texts').optional(),
 			/** How long a draining worker still stays, in milliseconds. */
 			remainingMs: z.number().optional(),
 		}),
@@ -182,10 +187,22 @@
 		| {kind: 'unknown'; name: string}
 		| {kind: 'malformed'; problem: string};
 
+/** Returns the kind that a message names, if it names one. */
+export function kindOf(value: unknown): string | undefined {
+	const kind = typeof value === 'object' && value !== null ? (value as {kind?: unknown}).kind : undefined;
+	return typeof kind === 'string' ? kind : undefined;
+}
+
+/** Returns the length of a field that is too long a list. A schema would look at each of its millions of values. */
+function longListIn(message: Record<string, unknown>): number | undefined {
+	const lengths = Object.values(message).map(field => Array.isArray(field) ? field.length : 0);
+	return lengths.find(length => length > maxListLength);
+}
+
 /** Decodes one message. */
 export function decodeMessage(value: unknown): DecodeResult {
-	const kind = typeof value === 'object' && value !== null ? (value as {kind?: unknown}).kind : undefined;
-	if (typeof kind !== 'string') {
+	const kind = kindOf(value);
+	if (kind === undefined) {
 		return {kind: 'malformed', problem: 'kind: expected the name of a message'};
 	}
 
@@ -199,8 +216,13 @@
 		return {kind: 'unknown', name: kind};
 	}
 
+	const length = longListIn(value as Record<string, unknown>);
+	if (length !== undefined) {
+		return {kind: 'malformed', problem: `${kind}: a list of ${length} where at most ${maxListLength} are allowed`};
+	}
+
 	const parsed = schema.safeParse(value);
 	return parsed.success
 		? {kind: 'message', message: parsed.data}
-		: {kind: 'malformed', problem: parsed.error.issues.map(({path, message}) => `${kind}.${path.join('.')}: ${message}`).join('; ')};
+		: {kind: 'malformed', problem: describeIssues(parsed.error.issues.map(issue => ({...issue, path: [kind, ...issue.path]})))};
 }
--- a/src/ephemeral/parts.ts
+++ b/src/ephemeral/parts.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {GrowableBuffer} from '../growable-buffer.js';
 import {blockLimitBytes} from './frames.js';
 
 /** The longest part of a long message, in bytes. */
@@ -59,26 +60,27 @@
 		return new IncomingParts(limitBytes);
 	}
 
-	private parts: Uint8Array[] = [];
-	private bytes = 0;
+	private readonly held = GrowableBuffer.create();
 
 	private constructor(private readonly limitBytes: number) {}
 
+	/** The memory that the parts take, in bytes. */
+	get heldBytes(): number {
+		return this.held.capacity;
+	}
+
 	/** Adds a part, and returns the message that it completes. Throws if the message is too long or no JSON. */
 	add({bytes, last}: Part): unknown {
-		this.parts.push(bytes);
-		this.bytes += bytes.length;
-		if (this.bytes > this.limitBytes) {
+		if (this.held.length + bytes.length > this.limitBytes) {
 			throw new Error(`a message of more than ${this.limitBytes} bytes in parts`);
 		}
 
+		this.held.append(bytes);
 		if (!last) {
 			return undefined;
 		}
 
-		const text = Buffer.concat(this.parts).toString();
-		this.parts = [];
-		this.bytes = 0;
-		return JSON.parse(text) as unknown;
+		const content = this.held.take();
+		return JSON.parse(Buffer.from(content.buffer, content.byteOffset, content.length).toString()) as unknown;
 	}
 }
