Limit the connections of processes that have not said hello

Cause: the port for links took any number of connections. One that sent heartbeats was never silent, so it stayed without a hello for ever.

Change: a hello is due within 5 s.

--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -26,13 +26,15 @@
 /** The unsent data above which a link counts as stuck, in bytes. */
 const backlogBytes = 4_000_000;
 
+/** How long a process that has connected may take to say hello, in milliseconds. */
+const helloMs = 5000;
 /** The longest block of messages of a process that has connected and not said hello, in bytes. */
 const helloBytes = 2_000_000;
 
 /** While more than this is unsent, no further part of a long message is written, in bytes. */
 const partBacklogBytes = 16_000;
 
-/** Why a link ended: `released` if this side no longer needs it, `overdue` if its receiver found it so, `failed` if one of its messages could not be handled, `displaced` if all links together took too much memory. */
+/** Why a link ended: `released` if this side no longer needs it, `overdue` if its receiver found it so, `failed` if one of its messages could not be handled, `displaced` if all links together took too many connections or too much memory. */
 export type LinkEndReason = 'closed' | 'released' | 'silent' | 'overdue' | 'stuck' | 'malformed' | 'failed' | 'displaced';
 
 /** The bytes received and sent on links, by the role of the other side; before its hello it is a stranger. */
@@ -60,6 +62,8 @@
 	/** Whether the other side has opened the connection. */
 	isAccepted: boolean;
 	ended(link: Link): void;
+	/** Called when the other side has said hello, before that is passed on. Returns whether the link may go on. */
+	identified(link: Link): boolean;
 	/** Called with the memory that the messages take which are not whole yet, in bytes, when that has changed. */
 	held(link: Link, bytes: number): void;
 };
@@ -88,6 +92,7 @@
 	private isHelloSent = false;
 	/** The features that this side has announced. */
 	private ownFeatures: readonly string[] = [];
+	private readonly openedAt: number;
 	private receivedAt: number;
 	private sentAt: number;
 	/** The memory that was last passed to `held`. */
@@ -112,7 +117,8 @@
 		({clock: this.clock, receiver: this.receiver, traffic: this.traffic} = dependencies);
 		const {clock} = this;
 		this.remoteAddress = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? ''}`;
-		this.receivedAt = clock.mono();
+		this.openedAt = clock.mono();
+		this.receivedAt = this.openedAt;
 		if (dependencies.isAccepted) {
 			this.reader.limitBytes = helloBytes;
 		}
@@ -256,7 +262,7 @@
 	}
 
 	private livenessProblem(now: number): 'silent' | 'overdue' | undefined {
-		if (this.isSilent(now)) {
+		if (this.isSilent(now) || (this.peer === undefined && this.dependencies.isAccepted && now - this.openedAt > helloMs)) {
 			return 'silent';
 		}
 
@@ -348,6 +354,10 @@
 		if (message.kind === 'hello') {
 			this.peer = message;
 			this.reader.limitBytes = blockLimitBytes;
+			if (!this.dependencies.identified(this)) {
+				this.end('displaced');
+				return;
+			}
 		}
 
 		this.deliver(message);
@@ -451,11 +461,13 @@
 	readonly traffic: LinkTraffic = {entry: {in: 0, out: 0}, sidecar: {in: 0, out: 0}, stranger: {in: 0, out: 0}};
 
 	private readonly open = new Set<Link>();
+	/** The accepted links whose other side has not said hello, the oldest first. */
+	private readonly strangers = new Set<Link>();
 	private readonly held: ByteBudget<Link>;
 	private readonly timer: NodeJS.Timeout;
 	private server?: Server;
 
-	private constructor(private readonly clock: Clock, private readonly receiver: Receiver, limits: StrangerLimits) {
+	private constructor(private readonly clock: Clock, private readonly receiver: Receiver, private readonly limits: StrangerLimits) {
 		this.held = ByteBudget.create(limits.receivedBytes);
 		this.timer = setInterval(() => {
 			for (const link of this.open) {
@@ -507,7 +519,12 @@
 	async listen(address: string): Promise<string> {
 		const [host, port] = splitAddress(address);
 		const server = createServer(socket => {
-			this.add(socket, true);
+			const [oldest] = this.strangers;
+			if (oldest && this.strangers.size >= this.limits.connections.strangers) {
+				oldest.close('displaced');
+			}
+
+			this.strangers.add(this.add(socket, true));
 		});
 		this.server = server;
 		return new Promise((resolve, reject) => {
@@ -535,6 +552,11 @@
 			isAccepted,
 			ended: ended => {
 				this.open.delete(ended);
+				this.strangers.delete(ended);
+			},
+			identified: identified => {
+				this.strangers.delete(identified);
+				return this.open.size - this.strangers.size <= this.limits.connections.peers;
 			},
 			held: (holder, bytes) => {
 				this.held.set(holder, bytes);
