Answer requests of the desired state that arrive together once

Cause: suspected, not shown: each of the requests in one block was answered with a whole desired state, before the length of what is unsent was looked at; and the limit of 4 MB unsent holds for one link alone. 100 links that read nothing held (191 of 210 MB).

Change: a request is passed over while a state is about to be sent on the link.

--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -30,6 +30,8 @@
 const helloMs = 5000;
 /** The longest block of messages of a process that has connected and not said hello, in bytes. */
 const helloBytes = 2_000_000;
+/** The unsent data of one link above which that of all links is added up, in bytes. */
+const noticedBacklogBytes = 64_000;
 
 /** While more than this is unsent, no further part of a long message is written, in bytes. */
 const partBacklogBytes = 16_000;
@@ -66,6 +68,8 @@
 	identified(link: Link): boolean;
 	/** Called with the memory that the messages take which are not whole yet, in bytes, when that has changed. */
 	held(link: Link, bytes: number): void;
+	/** Called when a link has much unsent data. */
+	backedUp(): void;
 };
 
 /**
@@ -186,6 +190,11 @@
 		}
 	}
 
+	/** Returns whether a message of a kind waits to be sent, or, of a desired state, parts of one. */
+	isAboutToSend(kind: Message['kind']): boolean {
+		return this.pending.some(message => message.kind === kind) || (kind === 'desired' && this.outgoingParts.waitingBytes > 0);
+	}
+
 	/** Takes back a message that waits to be sent with the others of this turn. Returns whether it did. */
 	withdraw(message: Message): boolean {
 		const index = this.pending.indexOf(message);
@@ -250,6 +259,8 @@
 
 		if (this.socket.writableLength > backlogBytes) {
 			this.end('stuck');
+		} else if (this.socket.writableLength > noticedBacklogBytes) {
+			this.dependencies.backedUp();
 		}
 	}
 
@@ -564,10 +575,21 @@
 					displaced.close('displaced');
 				}
 			},
+			backedUp: () => {
+				this.limitBacklog();
+			},
 		});
 		this.open.add(link);
 		return link;
 	}
+
+	/** Ends the links with the most unsent data while that of all links is over its limit. */
+	private limitBacklog(): void {
+		while (this.unsentBytes > this.limits.unsentBytes) {
+			const [most] = [...this.open].toSorted((a, b) => b.unsentBytes - a.unsentBytes);
+			most!.close('stuck');
+		}
+	}
 }
 
 /** Returns whether a text is an address that can be dialled, as host:port. */
--- a/src/ephemeral/state-exchange.ts
+++ b/src/ephemeral/state-exchange.ts
@@ -136,7 +136,11 @@
 
 			case 'fetch': {
 				const {asOf, text} = this.inForce;
-				link.send({kind: 'desired', asOf, text});
+				// Requests that arrive together get one answer: each would take the memory of a whole state.
+				if (!link.isAboutToSend('desired')) {
+					link.send({kind: 'desired', asOf, text});
+				}
+
 				break;
 			}
 
