Limit the addresses of entries that are kept and dialled at once

Cause: a process that says it is an entry may name any number of addresses, and each that could not be reached was dialled anew twice a second, all at the same time.

Change: at most 1,000 addresses are kept beside the seeds; while there are that many, one that could not be reached makes room for a new one. At most 64 are dialled at the same time, those first that were not dialled for the longest time.

--- a/src/ephemeral/address-book.ts
+++ b/src/ephemeral/address-book.ts
@@ -3,6 +3,10 @@
 
 /** How long an unreachable address that is not a seed is kept, in milliseconds. */
 const forgetMs = 60_000;
+/** The most addresses that are kept. */
+const maxAddresses = 1000;
+/** The most addresses that are dialled at the same time. */
+const maxDials = 64;
 
 export type AddressBookOptions = {
 	clock: Clock;
@@ -29,6 +33,8 @@
 	address: string;
 	link?: Link;
 	dialling: boolean;
+	/** When it was last dialled, in monotonic milliseconds; 0 if it never was. */
+	dialledAt: number;
 	/** Whether the last attempt to dial it failed. */
 	failed: boolean;
 	/** Whether that attempt was refused: no process was there. */
@@ -79,13 +85,13 @@
 		clearInterval(this.timer);
 	}
 
-	/** Adds addresses. Invalid ones are ignored, since they may come from a row that another process wrote. */
+	/** Adds addresses. Invalid ones are ignored, since they may come from a row that another process wrote. While there are too many, one that could not be reached makes room. */
 	add(addresses: readonly string[], seed = false): void {
 		for (const address of addresses) {
-			if (isAddress(address) && address !== this.options.ownAddress() && !this.known.has(address)) {
+			if (isAddress(address) && address !== this.options.ownAddress() && !this.known.has(address) && (seed || this.hasRoom())) {
 				this.ranked = undefined;
 				this.known.set(address, {
-					address, dialling: false, failed: false, isRefused: false, since: this.options.clock.mono(), seed,
+					address, dialling: false, dialledAt: 0, failed: false, isRefused: false, since: this.options.clock.mono(), seed,
 				});
 			}
 		}
@@ -121,8 +127,25 @@
 		}
 	}
 
+	/** Returns whether another address can be kept, after one that could not be reached was dropped for it if need be. */
+	private hasRoom(): boolean {
+		if (this.known.size < maxAddresses) {
+			return true;
+		}
+
+		for (const {address, seed, link, dialling, failed} of this.known.values()) {
+			if (failed && !seed && !link && !dialling) {
+				this.known.delete(address);
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	private redial(): void {
 		this.forget();
+		const due: Known[] = [];
 		const maxLinks = this.options.subset?.maxLinks ?? Number.POSITIVE_INFINITY;
 		const surplus: Link[] = [];
 		const linked = new Set([...this.known.values()].filter(({link}) => link?.isOpen).map(({process}) => process));
@@ -143,13 +166,23 @@
 			// An unreachable address does not count, so that the next in order is linked instead.
 			counted += Number(known.link !== undefined || !known.failed);
 			if (!known.link && !known.dialling) {
-				void this.dial(known);
+				due.push(known);
 			}
 		}
 
+		this.dialSome(due);
 		this.options.subset?.onSurplusLinks(surplus);
 	}
 
+	/** Dials as many of these as may be dialled at once, those first that were not dialled for the longest time. */
+	private dialSome(due: Known[]): void {
+		const free = maxDials - [...this.known.values()].filter(({dialling}) => dialling).length;
+		const chosen = due.length > free ? due.toSorted((a, b) => a.dialledAt - b.dialledAt).slice(0, free) : due;
+		for (const known of chosen) {
+			void this.dial(known);
+		}
+	}
+
 	private forget(): void {
 		for (const known of this.known.values()) {
 			if (!known.seed && !known.link && this.options.clock.mono() - known.since > forgetMs) {
@@ -168,6 +201,7 @@
 	private async dial(known: Known): Promise<void> {
 		const {since} = known;
 		known.dialling = true;
+		known.dialledAt = this.options.clock.mono();
 		let isRefused = false;
 		const link = await this.options.links.dial(known.address, () => {
 			isRefused = true;
--- a/test/misbehaving-clients.test.ts
+++ b/test/misbehaving-clients.test.ts
@@ -44,6 +44,9 @@
 const longName = `${'n'.repeat(15_000)}{n}`;
 const manyHeaders = Array.from({length: 3700}, (_, index) => `${String.fromCodePoint(97 + (index % 26))}:`);
 
+/** Addresses of this machine where nobody listens. */
+const absentEntries = Array.from({length: 5000}, (_, index) => `127.9.${Math.floor(index / 250)}.${(index % 250) + 1}:9`);
+
 /** `takesWorkers`: the clients' jobs take all workers, so that an ordinary caller may be refused while they stay. */
 type Case = {listener: Listener; title: string; count: number; client: Client; limits?: Record<Role, Limits>; takesWorkers?: boolean};
 
@@ -153,6 +156,10 @@
 	{
 		listener: 'links', title: 'a hello of millions of features', count: 1, client: {head: `${hello([]).replace('[]', `[${'1,'.repeat(7_000_000)}1]`)}\n`},
 	},
+	{
+		listener: 'links', title: 'addresses of thousands of entries that are not there', count: 1,
+		client: {head: `${hello([])}\n[{"kind":"entries","addresses":[${absentEntries.map(address => `"${address}"`).join(',')}]}]\n`},
+	},
 	{
 		listener: 'links', title: 'requests of the desired state whose answers are not read', count: 100,
 		client: {head: `${hello([])}\n`, piece: `[${'{"kind":"fetch"},'.repeat(3000)}{"kind":"fetch"}]\n`, times: 40},
