Call the limits on clients by one name

Cause: `StrangerLimits` held the limits on all clients, and in it `strangers` those without a hello; the expression that makes text of bytes stood four times.

Change: ClientLimits, in src/decide/client-limits.ts; `textOf` in src/growable-buffer.ts. No behaviour changes.

--- a/src/decide/stranger-limits.ts
+++ b/src/decide/client-limits.ts
@@ -2,10 +2,10 @@
 export type ProcessLimits = {memoryMb?: number; descriptors?: number};
 
 /**
- * StrangerLimits bounds what all clients together can make a process keep: connections by listener, of which `strangers`
+ * ClientLimits bounds what all clients together can make a process keep: connections by listener, of which `strangers`
  * are those of processes that have not said hello, and bytes of memory by what they are kept for.
  */
-export type StrangerLimits = {
+export type ClientLimits = {
 	connections: Record<'callers' | 'control' | 'ready' | 'metrics' | 'strangers' | 'peers', number>;
 	/** Requests whose bodies arrive, and bodies that have not been decoded. */
 	requestBytes: number;
@@ -36,7 +36,7 @@
 const tasksPerMb = 100;
 
 /** Divides what the machine gives among what clients can take of it. */
-export function divideLimits({memoryMb = usualMemoryMb, descriptors = usualDescriptors}: ProcessLimits): StrangerLimits {
+export function divideLimits({memoryMb = usualMemoryMb, descriptors = usualDescriptors}: ProcessLimits): ClientLimits {
 	const sockets = Math.max(0, descriptors - fileDescriptors);
 	const few = (most: number): number => Math.max(1, Math.min(most, Math.floor(sockets / 16)));
 	const ready = few(maxReady);
--- a/src/ephemeral/dispatcher.ts
+++ b/src/ephemeral/dispatcher.ts
@@ -8,7 +8,7 @@
 import {LoopDelay, type EntryLoad} from '../decide/overload.js';
 import type {Release} from '../decide/reservation.js';
 import {areAmounts, type Resources} from '../decide/resources.js';
-import type {StrangerLimits} from '../decide/stranger-limits.js';
+import type {ClientLimits} from '../decide/client-limits.js';
 import type {Clock} from '../ports/clock.js';
 import {defaultPolicySettings, type PolicySettings} from '../settings/policy.js';
 import type {DispatcherMetrics} from './metrics.js';
@@ -36,7 +36,7 @@
 	/** The scheduling policy; absent for the default. */
 	policy?: PolicySettings;
 	/** What other processes may take of this one; absent for a usual machine. */
-	limits?: StrangerLimits;
+	limits?: ClientLimits;
 	/** How many times as long a task takes on another rack than that of its data; absent where racks make no difference. */
 	farFactor?: number;
 };
--- a/src/ephemeral/link.ts
+++ b/src/ephemeral/link.ts
@@ -2,7 +2,7 @@
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {ByteBudget} from '../decide/byte-budget.js';
-import {divideLimits, type StrangerLimits} from '../decide/stranger-limits.js';
+import {divideLimits, type ClientLimits} from '../decide/client-limits.js';
 import type {Clock} from '../ports/clock.js';
 import {
 	BlockReader, blockLimitBytes, createMsgpackFrames, jsonLines, type Codec,
@@ -478,7 +478,7 @@
 	private readonly timer: NodeJS.Timeout;
 	private server?: Server;
 
-	private constructor(private readonly clock: Clock, private readonly receiver: Receiver, private readonly limits: StrangerLimits) {
+	private constructor(private readonly clock: Clock, private readonly receiver: Receiver, private readonly limits: ClientLimits) {
 		this.held = ByteBudget.create(limits.receivedBytes);
 		this.timer = setInterval(() => {
 			for (const link of this.open) {
--- a/src/ephemeral/parts.ts
+++ b/src/ephemeral/parts.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {GrowableBuffer} from '../growable-buffer.js';
+import {GrowableBuffer, textOf} from '../growable-buffer.js';
 import {blockLimitBytes} from './frames.js';
 
 /** The longest part of a long message, in bytes. */
@@ -80,7 +80,6 @@
 			return undefined;
 		}
 
-		const content = this.held.take();
-		return JSON.parse(Buffer.from(content.buffer, content.byteOffset, content.length).toString()) as unknown;
+		return JSON.parse(textOf(this.held.take())) as unknown;
 	}
 }
--- a/test/limited-server.test.ts
+++ b/test/limited-server.test.ts
@@ -7,10 +7,10 @@
 import {createLimitedServer} from '../src/adapters/limited-server.js';
 import {ByteBudget} from '../src/decide/byte-budget.js';
 import {ConnectionTable, type Phase} from '../src/decide/connection-table.js';
-import {divideLimits} from '../src/decide/stranger-limits.js';
+import {divideLimits} from '../src/decide/client-limits.js';
 import {GrowableBuffer} from '../src/growable-buffer.js';
 import {decodeDesired} from '../platform/desired.js';
-import {machineSettings, strangerLimits} from '../platform/settings.js';
+import {machineSettings, clientLimitsOf} from '../platform/settings.js';
 import {silentLog} from './ephemeral-cluster.js';
 
 /** Connections with their phase and the time at which they entered it; a further one comes at 10,000 ms. */
@@ -76,7 +76,7 @@
 });
 
 for (const [memoryMb, descriptors] of [[210, 2212], [350, 4100], [602, 10_250], [210, 500], [16, 210], [undefined, undefined]] as const) {
-	test(`stranger limits: ${descriptors ?? 'unknown'} descriptors and ${memoryMb ?? 'unknown'} MB are not divided twice`, t => {
+	test(`client limits: ${descriptors ?? 'unknown'} descriptors and ${memoryMb ?? 'unknown'} MB are not divided twice`, t => {
 		const {connections, requestBytes, receivedBytes, unsentBytes} = divideLimits({memoryMb, descriptors});
 		const {control, ...ofEntry} = connections;
 		const sum = Object.values(ofEntry).reduce((total, count) => total + count, 0);
@@ -92,11 +92,11 @@
 	['below that of the settings', 1000, 378],
 	['that leaves nothing for connections', 200, 2442],
 ] as const) {
-	test(`stranger limits: a limit of the kernel ${title}`, t => {
+	test(`client limits: a limit of the kernel ${title}`, t => {
 		const settings = machineSettings.parse({
 			node: 'n', ip: '127.0.0.1', zone: 'z', serves: [], listen: {}, port_range: [1, 2], bounds: {hold_max_ms: 1, grace_s: 1}, platform: {addr: 'a'}, limits: {memory_mb: 350, max_fds: 4100},
 		});
-		t.is(strangerLimits(settings, kernelLimit).connections.callers, callers);
+		t.is(clientLimitsOf(settings, kernelLimit).connections.callers, callers);
 	});
 }
 
