Limit the chunks of bodies that are read in a second

What callers saw: while hundreds of clients sent bodies of one-byte chunks, an ordinary job got no answer for a minute; the process lived, and its memory held.

Cause: such a chunk takes some 0.7 us to parse, whatever is done with it, and a body inside the limit has 262,144. A body that gave way for want of memory was parsed to its end all the same: Node.js reads up to 2 MB of a connection before it does anything else. A profile of the entry shows 12 of 15 s outside any function.

Change: from its 17th chunk on, all bodies together have 50,000 chunks a second, and 300,000 at once, which is more than one body inside the limits has (src/decide/token-bucket.ts). The connection of one beyond that is closed at once, which stops its parsing. Chunks no longer count as memory.

--- a/src/adapters/body-reader.ts
+++ b/src/adapters/body-reader.ts
@@ -1,27 +1,34 @@
 import type {IncomingMessage} from 'node:http';
 import {ByteBudget} from '../decide/byte-budget.js';
+import {TokenBucket} from '../decide/token-bucket.js';
 import {GrowableBuffer} from '../growable-buffer.js';
+import type {Clock} from '../ports/clock.js';
 
 /** About how many bytes a request takes beside its body, and each field of its header. */
 const requestBytes = 4096;
 const headerFieldBytes = 64;
-/** What a chunk counts beside its bytes: one of a single byte takes as much processor time as one of some hundred. */
-const chunkBytes = 64;
+/** The chunks of a body that are always read. An ordinary body has one or two. */
+const freeChunks = 16;
+/** The further chunks of all bodies that are read at once and in a second. The first suffice for one body of one-byte chunks; a chunk takes a microsecond or two whatever its size. */
+const burstChunks = 300_000;
+const chunksPerSecond = 50_000;
 
-/** BodyEnd is how the reading of a body ends. `tooLong`: it is over its limit. `displaced`: all bodies together took too much memory, and this one the most. */
-export type BodyEnd = {kind: 'whole'; bytes: Uint8Array} | {kind: 'tooLong'} | {kind: 'displaced'};
+/** BodyEnd is how the reading of a body ends. `tooLong`: it is over its limit. `displaced`: all bodies together took too much memory, and this one the most. `tooManyChunks`: all bodies together had too many chunks. */
+export type BodyEnd = {kind: 'whole'; bytes: Uint8Array} | {kind: 'tooLong'} | {kind: 'displaced'} | {kind: 'tooManyChunks'};
 
 /** BodyReader reads the bodies of requests, within a limit for each and one for all. A body counts until it is released. */
 export class BodyReader {
-	static create(limitBytes: number): BodyReader {
-		return new BodyReader(limitBytes);
+	static create(limitBytes: number, clock: Clock): BodyReader {
+		return new BodyReader(limitBytes, clock);
 	}
 
 	private readonly budget: ByteBudget<IncomingMessage>;
 	/** What ends the reading of the bodies that arrive, by request. */
 	private readonly ends = new Map<IncomingMessage, (end: BodyEnd) => void>();
 
-	private constructor(limitBytes: number) {
+	private readonly chunks = TokenBucket.create(burstChunks, chunksPerSecond);
+
+	private constructor(limitBytes: number, private readonly clock: Clock) {
 		this.budget = ByteBudget.create(limitBytes);
 	}
 
@@ -51,9 +58,14 @@
 				return;
 			}
 
-			buffer.append(chunk);
 			chunks++;
-			this.hold(request, ownBytes + buffer.capacity + (chunks * chunkBytes));
+			if (chunks > freeChunks && !this.chunks.take(this.clock.mono())) {
+				finish({kind: 'tooManyChunks'});
+				return;
+			}
+
+			buffer.append(chunk);
+			this.hold(request, ownBytes + buffer.capacity);
 		});
 		request.once('end', () => {
 			if (this.ends.has(request)) {
--- a/test/limited-server.test.ts
+++ b/test/limited-server.test.ts
@@ -7,6 +7,7 @@
 import {createLimitedServer} from '../src/adapters/limited-server.js';
 import {ByteBudget} from '../src/decide/byte-budget.js';
 import {ConnectionTable, type Phase} from '../src/decide/connection-table.js';
+import {TokenBucket} from '../src/decide/token-bucket.js';
 import {divideLimits} from '../src/decide/client-limits.js';
 import {GrowableBuffer} from '../src/growable-buffer.js';
 import {decodeDesired} from '../platform/desired.js';
@@ -62,6 +63,18 @@
 	});
 }
 
+for (const [title, takes, taken] of [
+	['as many at once as it holds', [0, 0, 0, 0], [true, true, true, false]],
+	['new ones with time', [0, 0, 0, 100, 100, 150, 200], [true, true, true, true, false, false, true]],
+	['no more than it holds after a long time', [0, 0, 0, 10_000, 10_000, 10_000, 10_000], [true, true, true, true, true, true, false]],
+	['none for a clock that goes back', [100, 100, 100, 0, 100], [true, true, true, false, true]],
+] as const) {
+	test(`token bucket: of three tokens and ten a second gives ${title}`, t => {
+		const bucket = TokenBucket.create(3, 10);
+		t.deepEqual(takes.map(now => bucket.take(now)), [...taken]);
+	});
+}
+
 test('growable buffer: chunks of any size are joined, and take at most twice their bytes', t => {
 	const buffer = GrowableBuffer.create();
 	const text = Array.from({length: 5000}, (_, index) => `${index} `).join('');
--- a/test/misbehaving-clients.test.ts
+++ b/test/misbehaving-clients.test.ts
@@ -69,6 +69,12 @@
 			head: submission(chunked), piece: smallChunk, times: bodyBytes - 1, isReading: true,
 		},
 	},
+	{
+		listener: 'front', title: 'hundreds of chunked bodies of one-byte chunks', count: 450,
+		client: {
+			head: submission(chunked), piece: smallChunk, times: bodyBytes - 1, isReading: true,
+		},
+	},
 	{
 		listener: 'front', title: 'chunked bodies whose clients leave and come back', count: 40,
 		client: {
