--- a/src/adapters/body-reader.ts
+++ b/src/adapters/body-reader.ts
@@ -25,7 +25,6 @@
 	private readonly budget: ByteBudget<IncomingMessage>;
 	/** What ends the reading of the bodies that arrive, by request. */
 	private readonly ends = new Map<IncomingMessage, (end: BodyEnd) => void>();
-
 	private readonly chunks = TokenBucket.create(burstChunks, chunksPerSecond);
 
 	private constructor(limitBytes: number, private readonly clock: Clock) {
@@ -86,7 +85,7 @@
 		this.budget.set(request, 0);
 	}
 
-	/** The body of a request has been read, so that only those that arrive can give way. */
+	/** Records what a request takes. Of those that have to give way, one whose body is whole is decoded all the same. */
 	private hold(request: IncomingMessage, bytes: number): void {
 		this.budget.set(request, bytes);
 		for (const displaced of this.budget.takeDisplaced()) {
