Tests of a single request inside the limits, in calm

Cause: a limit on chunks or on memory could refuse what the desired state allows, and no crowd would show it.

Added: a submission of the longest body in one-byte chunks and in two, and a short one in one-byte chunks, each served by the programs with the memory of the smallest machine.

--- a/test/misbehaving-clients.test.ts
+++ b/test/misbehaving-clients.test.ts
@@ -2,6 +2,7 @@
 // ends or hangs, or takes more memory or descriptors than its machine gives it, and against an ordinary caller that gets no
 // answer meanwhile or afterwards. The bounds are the limits in the settings of the processes.
 import {once} from 'node:events';
+import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Worker as Thread} from 'node:worker_threads';
 import test from 'ava';
@@ -235,3 +236,34 @@
 		t.true(isServingAfterwards, 'once they have left');
 	});
 }
+
+const ordinary = JSON.stringify({
+	spec: '{"ms":20}', best_effort: true, steps: [{
+		count: 2, cpu: 500, mem_mb: 16, estimate_ms: 20,
+	}],
+});
+
+// Guards against a limit that a single request inside the limits of the desired state meets.
+for (const [title, bytes, chunk] of [
+	['the longest body, in one-byte chunks', bodyBytes, 1],
+	['the longest body, in two chunks', bodyBytes, bodyBytes / 2],
+	['a short body, in one-byte chunks', ordinary.length, 1],
+] as const) {
+	test.serial(`misbehaving clients: a single request is served in calm: ${title}`, async t => {
+		const deployment = await Deployment.create(t, usual);
+		t.true(await deployment.isAnswering([200]));
+		const text = ordinary.padEnd(bytes, ' ');
+		const chunks = Array.from({length: Math.ceil(bytes / chunk)}, (_, index) => text.slice(index * chunk, (index + 1) * chunk));
+		const socket = connect(deployment.ports.front, '127.0.0.1');
+		socket.write(submission(chunked).replace('{n}', '00000000000000aa') + chunks.map(part => `${part.length.toString(16)}\r\n${part}\r\n`).join('') + '0\r\n\r\n');
+		let answer = '';
+		for await (const part of socket) {
+			answer += String(part);
+			if (answer.includes('"state"')) {
+				break;
+			}
+		}
+
+		t.regex(answer, /^HTTP\/1\.1 200 [\s\S]*"completed"/v);
+	});
+}
