Review: a late order is carried out by a minion that started again together with its sidecar

Cause: a sidecar that starts takes its fence from the worker's clock, which begins anew with the worker.

--- a/review/standin-3/deployment.js
+++ b/review/standin-3/deployment.js
@@ -32,6 +32,8 @@
 	},
 };
 const host = 'nony24.example';
+/** What the clocks of the first minions show when the deployment starts: they have been up for eight minutes. */
+const firstClockMs = 482_113;
 
 /** Returns the words of the command of a role of the deploy file. */
 function commandOf(role) {
@@ -69,9 +71,12 @@
 	throw new Error('no free ports');
 }
 
-/** Deployment is entries and sidecars with a minion each. Everything that happens goes into the record. */
+/**
+ * Deployment is entries and sidecars with a minion each. Everything that happens goes into the record. `delayOrder` is called with
+ * the machine of each order to a minion, and returns how late it is carried out, in milliseconds, if it is left unanswered.
+ */
 export class Deployment {
-	static async create({entries, minions, record}) {
+	static async create({entries, minions, record, delayOrder}) {
 		const network = await findNetwork(entries + minions + 1);
 		const deployment = new Deployment(network, record);
 		deployment.store = await Store.create(`${network}.1`, ports.store);
@@ -89,12 +94,8 @@
 			deployment.start(machine);
 		}
 
-		for (const [index, {ip, zone}] of deployment.sidecars.entries()) {
-			deployment.minions.push(await Minion.create({
-				id: `i-${index + 1}`, address: `${ip}:${ports.app}`, control: `${ip}:${ports.control}`, service, zone, capacity: {cpu: 64_000, mem_mb: 262_144, gpu: 0}, labels: ['a', `r1-${index + 1}`], heartbeatMs: 1500, holdMaxMs: bounds.hold_max_ms, note(event, what) {
-					record.note(event, what);
-				},
-			}));
+		for (const sidecar of deployment.sidecars) {
+			await deployment.startMinion(sidecar, delayOrder);
 		}
 
 		return deployment;
@@ -103,7 +104,6 @@
 	store = undefined;
 	entries = [];
 	sidecars = [];
-	minions = [];
 	folder = mkdtempSync(path.join(tmpdir(), 'review-3-'));
 	agent = new Agent({keepAlive: false});
 	config = {
@@ -150,6 +150,22 @@
 		this.record.note('process', {node: machine.node, pid: child.pid});
 	}
 
+	/** Starts the minion of a `side` machine, under the id that the machine's minions have. */
+	async startMinion(machine, delayOrder) {
+		const {ip, zone} = machine;
+		const clockFrom = machine.minion ? 0 : firstClockMs;
+		const number = this.sidecars.indexOf(machine) + 1;
+		machine.minion = await Minion.create({
+			id: `i-${number}`, address: `${ip}:${ports.app}`, control: `${ip}:${ports.control}`, service, zone, capacity: {cpu: 64_000, mem_mb: 262_144, gpu: 0}, labels: ['a', `r1-${number}`], heartbeatMs: 1500, holdMaxMs: bounds.hold_max_ms, clockFrom, note: (event, what) => {
+				this.record.note(event, what);
+			}, delayOrder: () => delayOrder?.(machine), carryOut(order, text) {
+				if (machine.minion.isUp) {
+					machine.minion.carryOut(order, text);
+				}
+			},
+		});
+	}
+
 	/** Kills the process of a machine outright. */
 	async kill(machine) {
 		this.record.note('kill', {node: machine.node});
@@ -238,8 +254,8 @@
 		}
 
 		await Promise.all([...this.entries, ...this.sidecars].map(async ({exit}) => exit));
-		for (const minion of this.minions) {
-			minion.close();
+		for (const {minion} of this.sidecars) {
+			minion?.close();
 		}
 
 		this.store.close();
--- a/review/standin-3/minion.js
+++ b/review/standin-3/minion.js
@@ -14,6 +14,7 @@
 			minion.server.once('error', reject);
 			minion.server.listen(Number(port), host, resolve);
 		});
+		options.note('minion', {minion: options.id, born: minion.born});
 		minion.ping();
 		minion.timers.push(setInterval(() => {
 			minion.ping();
@@ -35,6 +36,7 @@
 	waiting = new Set();
 	timers = [];
 	state = 'ready';
+	isUp = true;
 
 	constructor(options) {
 		this.options = options;
@@ -45,16 +47,49 @@
 				text += chunk;
 			});
 			incoming.on('end', () => {
-				this.answer(incoming, response, text);
+				const {url, headers} = incoming;
+				const lateMs = url === '/sniperidge/hold' ? undefined : options.delayOrder?.();
+				if (lateMs === undefined) {
+					this.answer({url, headers}, response, text);
+					return;
+				}
+
+				const {task, run} = JSON.parse(text);
+				options.note('order left unanswered', {
+					minion: options.id, url, task, run, lateMs,
+				});
+				setTimeout(() => {
+					options.carryOut({url, headers}, text);
+				}, lateMs);
 			});
 		});
 	}
 
+	/** Carries out an order that was left unanswered. */
+	carryOut(order, text) {
+		const response = {
+			writeHead: status => {
+				const {task, run} = JSON.parse(text);
+				this.options.note('order carried out late', {
+					minion: this.options.id, born: this.born, url: order.url, task, run, status,
+				});
+			}, end: () => undefined,
+		};
+		this.answer(order, response, text);
+	}
+
 	get clock() {
-		return Math.round(performance.now() - this.startedAt);
+		return Math.round(performance.now() - this.startedAt) + this.options.clockFrom;
 	}
 
+	/** Ends at once: everything that runs ends with it, and nobody is told. */
 	close() {
+		if (!this.isUp) {
+			return;
+		}
+
+		this.options.note('minion ended', {minion: this.options.id, born: this.born, running: [...this.running.keys()]});
+		this.isUp = false;
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
@@ -63,8 +98,8 @@
 		this.server.closeAllConnections();
 	}
 
-	answer(incoming, response, text) {
-		const target = incoming.headers['x-target-instance'];
+	answer({url, headers}, response, text) {
+		const target = headers['x-target-instance'];
 		if (target !== undefined && target !== this.options.id) {
 			this.send(response, 421, {});
 			return;
@@ -78,7 +113,7 @@
 		}
 
 		this.fence = fence;
-		switch (incoming.url) {
+		switch (url) {
 			case '/sniperidge/run-start': {
 				this.start(body, response);
 				break;
@@ -122,7 +157,7 @@
 		this.running.set(task, {run, endsAt: this.clock + ms});
 		this.highest.set(task, run);
 		this.options.note('start', {
-			minion: this.options.id, task, run, spec,
+			minion: this.options.id, born: this.born, task, run, spec,
 		});
 		this.send(response, 200, {});
 	}
@@ -180,7 +215,7 @@
 		this.endNumber++;
 		this.ended.push([this.endNumber, task, run, how, '']);
 		this.options.note('end', {
-			minion: this.options.id, task, run, how,
+			minion: this.options.id, born: this.born, task, run, how,
 		});
 	}
 
