Review: sidecars run out of memory when many small tasks are ordered at once

Cause, by reading: orders whose 60 ms are over stay in the queue for connections to the worker, and each is followed by stops that wait there too.

--- a/review/standin-3/deployment.js
+++ b/review/standin-3/deployment.js
@@ -1,6 +1,6 @@
 /* eslint camelcase: off, @stylistic/max-len: off -- the names are the platform's, and its settings are long */
 // A small deployment on loopback: the programs of the deploy file as processes, with stand-ins of the store, the minions and the clients.
-import {spawn} from 'node:child_process';
+import {fork, spawn} from 'node:child_process';
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
@@ -12,9 +12,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Minion} from './minion.js';
+import {shortened} from './record.js';
 import {Store} from './store.js';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
+const minionProgram = fileURLToPath(new URL('minion-process.js', import.meta.url));
 const zones = ['split-a', 'zadar-b', 'dubrovnik-c'];
 const ports = {
 	front: 8161, app: 8165, control: 8166, ready: 8167, store: 8169, first: 7720, last: 7735, metrics: 9464,
@@ -74,11 +76,15 @@
 /**
  * Deployment is entries and sidecars with a minion each. Everything that happens goes into the record. `delayOrder` is called with
  * the machine of each order to a minion, and returns how late it is carried out, in milliseconds, if it is left unanswered.
+ * `areMinionsApart`: whether each minion is a process of its own, which tells what it has counted.
  */
 export class Deployment {
-	static async create({entries, minions, record, delayOrder}) {
+	static async create({
+		entries, minions, record, delayOrder, areMinionsApart = false,
+	}) {
 		const network = await findNetwork(entries + minions + 1);
 		const deployment = new Deployment(network, record);
+		deployment.areMinionsApart = areMinionsApart;
 		deployment.store = await Store.create(`${network}.1`, ports.store);
 		deployment.store.operate('config', deployment.config);
 		for (let index = 0; index < entries; index++) {
@@ -105,6 +111,7 @@
 	entries = [];
 	sidecars = [];
 	folder = mkdtempSync(path.join(tmpdir(), 'review-3-'));
+	areMinionsApart = false;
 	agent = new Agent({keepAlive: false});
 	config = {
 		version: 7,
@@ -155,10 +162,29 @@
 		const {ip, zone} = machine;
 		const clockFrom = machine.minion ? 0 : firstClockMs;
 		const number = this.sidecars.indexOf(machine) + 1;
+		const options = {
+			id: `i-${number}`, address: `${ip}:${ports.app}`, control: `${ip}:${ports.control}`, service, zone, capacity: {cpu: 64_000, mem_mb: 262_144, gpu: 0}, labels: ['a', `r1-${number}`], heartbeatMs: 1500, holdMaxMs: bounds.hold_max_ms, clockFrom,
+		};
+		if (this.areMinionsApart) {
+			const child = fork(minionProgram, [JSON.stringify(options)]);
+			child.on('message', counts => {
+				this.record.note('minion counted', {minion: options.id, ...counts});
+			});
+			machine.minion = {
+				close() {
+					child.kill('SIGKILL');
+				},
+			};
+			return;
+		}
+
 		machine.minion = await Minion.create({
-			id: `i-${number}`, address: `${ip}:${ports.app}`, control: `${ip}:${ports.control}`, service, zone, capacity: {cpu: 64_000, mem_mb: 262_144, gpu: 0}, labels: ['a', `r1-${number}`], heartbeatMs: 1500, holdMaxMs: bounds.hold_max_ms, clockFrom, note: (event, what) => {
+			...options,
+			note: (event, what) => {
 				this.record.note(event, what);
-			}, delayOrder: () => delayOrder?.(machine), carryOut(order, text) {
+			},
+			delayOrder: () => delayOrder?.(machine),
+			carryOut(order, text) {
 				if (machine.minion.isUp) {
 					machine.minion.carryOut(order, text);
 				}
@@ -193,12 +219,14 @@
 	}
 
 	/** Submits a job of the route. Resolves to the status and the body, with status 0 where there was no answer. */
-	async submit(entry, id, {spec, count = 2, estimateMs = 200, deadlineMs = 5000, note = 'submit'}) {
-		this.record.note(note, {entry: entry.node, id, spec});
+	async submit(entry, id, {spec, count = 2, cpu = 6200, estimateMs = 200, deadlineMs = 5000, note = 'submit'}) {
+		this.record.note(note, {
+			entry: entry.node, id, count, cpu, ...shortened(spec),
+		});
 		const answer = await this.ask(entry.ip, {
 			method: 'POST', path: `/boja/${id}`, withinMs: deadlineMs, headers: {'x-deadline-ms': String(deadlineMs)}, body: JSON.stringify({
 				spec, best_effort: true, steps: [{
-					count, cpu: 6200, mem_mb: 64, estimate_ms: estimateMs,
+					count, cpu, mem_mb: 64, estimate_ms: estimateMs,
 				}],
 			}),
 		});
--- a/review/standin-3/minion.js
+++ b/review/standin-3/minion.js
@@ -1,6 +1,7 @@
 /* eslint camelcase: off, @stylistic/max-len: off -- the names are the platform's, and its settings are long */
 // A stand-in of a minion: it runs what it is told to start, under a lease, and lists what runs and what has ended.
 import {createServer, request} from 'node:http';
+import {shortened} from './record.js';
 
 const tickMs = 5;
 
@@ -157,7 +158,7 @@
 		this.running.set(task, {run, endsAt: this.clock + ms});
 		this.highest.set(task, run);
 		this.options.note('start', {
-			minion: this.options.id, born: this.born, task, run, spec,
+			minion: this.options.id, born: this.born, task, run, ...shortened(spec),
 		});
 		this.send(response, 200, {});
 	}
--- a/review/standin-3/record.js
+++ b/review/standin-3/record.js
@@ -2,6 +2,14 @@
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 
+/** The longest spec that is recorded, in characters; of a longer one its length is. */
+const longestSpec = 1000;
+
+/** Returns a spec as it is recorded. */
+export function shortened(spec) {
+	return spec.length > longestSpec ? {specLength: spec.length} : {spec};
+}
+
 /** Record collects lines with the time since the start in milliseconds. */
 export class Record {
 	static create(file) {
