Refuse requests whose bytes are not UTF-8

What callers saw: a job whose body had bytes that are not UTF-8 (another encoding, a cut sequence) was answered `completed`, and its worker had been told U+FFFD, which no client sent. A job of the callers' API the same, with result 0.

Cause: the bytes of a body were made text by a decoder that replaces what it can't read. All listeners did so: callers on the platform, workers' reports, the callers' and the operators' API, the sidecar's local port, and links that still send lines of JSON.

Change: `decodeJson` and `decodeText` (src/text.ts) throw for such bytes, and all these listeners use them. A submission gets 400 before anything of it runs, a report 400 and counts as malformed, a job 400 `badInput`, a link ends as malformed. RFC 8259, section 8.1, asks for UTF-8. A worker's DELETE still counts whatever its body.

The operators' tables take ASCII alone, so that nothing wrong could arrive there before.

--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -12,7 +12,7 @@
 import type {EntryMetrics} from './metrics.js';
 import {callerDocument} from './openapi.js';
 import {
-	parseBody, sendError, sendOutcome, setResultHeaders,
+	bytesOf, parseBody, sendError, sendOutcome, setResultHeaders,
 } from './problem.js';
 import type {TaskInput} from './job-execution.js';
 import type {JobAnswer, Submission} from './submission.js';
@@ -77,8 +77,7 @@
 	async put(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
 		const member = this.memberOf(request);
 		const key = keyOf(request);
-		const text = Buffer.from(bytesOf(request)).toString();
-		const job = parseBody(jobSchema, text, 'badInput');
+		const job = parseBody(jobSchema, bytesOf(request), 'badInput');
 		const settings = this.routeOf(job.route, member);
 		const bodies = job.tasks.map(task => ({bytes: Buffer.from(task.body, task.encoding), contentType: task.contentType, expectMs: task.expectMs}));
 		checkSizes(bodies, settings);
@@ -194,10 +193,6 @@
 	}
 }
 
-function bytesOf(request: FastifyRequest): Uint8Array {
-	return request.body instanceof Uint8Array ? request.body : new Uint8Array();
-}
-
 function keyOf(request: FastifyRequest): string {
 	return check(keySchema, (request.params as {key: string}).key, 'key');
 }
--- a/src/entry/operator-api.ts
+++ b/src/entry/operator-api.ts
@@ -13,7 +13,9 @@
 import type {TableWatcher} from './table-watcher.js';
 import {closeConnectionsWhenStopping} from './listener.js';
 import {operatorDocument} from './openapi.js';
-import {checkValue, parseBody, sendError} from './problem.js';
+import {
+	bytesOf, checkValue, parseBody, sendError,
+} from './problem.js';
 
 /** In how many of the known processes a configuration version is in force. */
 export type RolloutStatus = {entries: {inForce: number; known: number}; sidecars: {inForce: number; known: number}};
@@ -63,7 +65,7 @@
 export function buildOperatorApi(dependencies: Dependencies): FastifyInstance {
 	const app = fastify({bodyLimit: 1_048_576, routerOptions: {maxParamLength: 300}, forceCloseConnections: 'idle'});
 	app.removeAllContentTypeParsers();
-	app.addContentTypeParser('*', {parseAs: 'string'}, (_request, body, done) => {
+	app.addContentTypeParser('*', {parseAs: 'buffer'}, (_request, body, done) => {
 		done(null, body);
 	});
 	app.setErrorHandler(async (error: Error, _request, reply) => sendError(reply, error));
@@ -106,7 +108,7 @@
 
 	async put(table: ConfigTable, request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
 		const key = nameOf(request);
-		const after: unknown = parseBody(schemas[table], textOf(request), 'badChange');
+		const after: unknown = parseBody(schemas[table], bytesOf(request), 'badChange');
 		const checks = table === 'routes' ? [await this.poolCheckOf(after as Route)] : [];
 		return this.change(request, reply, {
 			table, key, after, checks, expected: expectedVersion(request),
@@ -263,10 +265,6 @@
 	};
 }
 
-function textOf(request: FastifyRequest): string {
-	return typeof request.body === 'string' ? request.body : '';
-}
-
 function expectedVersion(request: FastifyRequest): number {
 	if (request.headers['if-none-match'] === '*') {
 		return 0;
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -1,10 +1,11 @@
-import type {FastifyReply} from 'fastify';
+import type {FastifyReply, FastifyRequest} from 'fastify';
 import type * as z from 'zod';
 import type {Outcome} from '../decide/claim.js';
 import {
 	Failure, resultOf, results, type Result,
 } from '../results.js';
 import {describeIssue} from '../settings/load.js';
+import {decodeJson} from '../text.js';
 
 /** Details of a problem document: what was wrong, additional members, and the delay before a retry in milliseconds. */
 export type ProblemDetails = {detail?: string; extra?: Record<string, unknown>; retryMs?: number};
@@ -58,11 +59,16 @@
 	return sendProblem(reply, resultOf(code), {detail: error.message});
 }
 
-/** Parses JSON and validates it against a schema. Throws `Failure` that names the invalid fields. */
-export function parseBody<Schema extends z.ZodType>(schema: Schema, text: string, name: 'badInput' | 'badChange'): z.infer<Schema> {
+/** Returns the body of a request that is read as bytes. */
+export function bytesOf({body}: FastifyRequest): Uint8Array {
+	return body instanceof Uint8Array ? body : new Uint8Array();
+}
+
+/** Decodes JSON and validates it against a schema. Throws `Failure` that names the invalid fields. */
+export function parseBody<Schema extends z.ZodType>(schema: Schema, body: Uint8Array, name: 'badInput' | 'badChange'): z.infer<Schema> {
 	let value: unknown;
 	try {
-		value = JSON.parse(text);
+		value = decodeJson(body);
 	} catch (error) {
 		throw Failure.create(name, `the body is not JSON: ${(error as Error).message}`);
 	}
--- a/src/ephemeral/frames.ts
+++ b/src/ephemeral/frames.ts
@@ -2,7 +2,8 @@
 import type * as msgpackr from 'msgpackr';
 // This part of the library loads no native add-on, so that it can be bundled. Its own types can't be resolved.
 import * as msgpackrPack from 'msgpackr/pack';
-import {GrowableBuffer, textOf} from '../growable-buffer.js';
+import {GrowableBuffer} from '../growable-buffer.js';
+import {decodeJson} from '../text.js';
 import {withSpareMarks} from './byte-order-marks.js';
 
 const library = msgpackrPack as unknown as typeof msgpackr;
@@ -23,7 +24,7 @@
 /** A list of messages as a line of JSON. */
 export const jsonLines: Codec = {
 	encode: messages => Buffer.from(`${JSON.stringify(messages)}\n`),
-	decode: content => JSON.parse(textOf(content)) as unknown,
+	decode: decodeJson,
 };
 
 /**
--- a/src/ephemeral/parts.ts
+++ b/src/ephemeral/parts.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {GrowableBuffer, textOf} from '../growable-buffer.js';
+import {GrowableBuffer} from '../growable-buffer.js';
+import {decodeJson} from '../text.js';
 import {blockLimitBytes} from './frames.js';
 
 /** The longest part of a long message, in bytes. */
@@ -80,6 +81,6 @@
 			return undefined;
 		}
 
-		return JSON.parse(textOf(this.held.take())) as unknown;
+		return decodeJson(this.held.take());
 	}
 }
--- a/src/growable-buffer.ts
+++ b/src/growable-buffer.ts
@@ -4,11 +4,6 @@
 const leastCapacity = 1024;
 const empty: Uint8Array = new Uint8Array();
 
-/** Returns the text that bytes in UTF-8 hold. */
-export function textOf(bytes: Uint8Array): string {
-	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString();
-}
-
 /** GrowableBuffer joins chunks of bytes as they arrive. What it takes depends on the number of bytes, not on the number of chunks. */
 export class GrowableBuffer {
 	static create(): GrowableBuffer {
--- a/src/sidecar/local.ts
+++ b/src/sidecar/local.ts
@@ -5,6 +5,7 @@
 import {type z} from 'zod';
 import {describeIssue} from '../settings/load.js';
 import {sidecarSettings, type SidecarSettings} from '../settings/schema.js';
+import {decodeJson} from '../text.js';
 import type {HeartbeatSender} from './heartbeat.js';
 import type {Gate} from './gate.js';
 import type {Place} from './place.js';
@@ -85,7 +86,7 @@
 
 async function handleAnnouncement<Schema extends z.ZodType>(request: http.IncomingMessage, response: http.ServerResponse, schema: Schema, accept: (value: z.infer<Schema>) => void): Promise<void> {
 	try {
-		const value: unknown = JSON.parse(await readBody(request));
+		const value = decodeJson(await readBody(request));
 		const parsed = schema.safeParse(value);
 		if (parsed.success) {
 			accept(parsed.data);
@@ -99,7 +100,7 @@
 	}
 }
 
-async function readBody(request: http.IncomingMessage): Promise<string> {
+async function readBody(request: http.IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	for await (const chunk of request) {
@@ -111,7 +112,7 @@
 		chunks.push(chunk as Uint8Array);
 	}
 
-	return Buffer.concat(chunks).toString();
+	return Buffer.concat(chunks);
 }
 
 function createMetrics({gate, heartbeats, listPlaces}: Dependencies): Registry {
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -67,7 +67,7 @@
 export type Submitting = {route?: string; member?: MemberName; deadlineMs?: number; headers?: Headers; declared?: readonly number[]};
 
 /** Asking is one request to the callers' port. */
-export type Asking = {method: 'GET' | 'PUT' | 'POST' | 'DELETE'; path: string; body?: string; headers?: Headers; member?: MemberName};
+export type Asking = {method: 'GET' | 'PUT' | 'POST' | 'DELETE'; path: string; body?: string | Uint8Array; headers?: Headers; member?: MemberName};
 
 /** Administered is what the operators' port answered. */
 export type Administered = {status: number; etag: string; body: Record<string, unknown>};
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {spawnSync} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -20,9 +21,10 @@
 
 const one = [{body: '{"ms":5}'}];
 const job = (fields: Record<string, unknown>) => JSON.stringify({route: 'task', tasks: one, ...fields});
-type Row = {title: string; method?: 'PUT' | 'POST' | 'GET' | 'DELETE'; path?: string; body?: string; headers?: Record<string, string>; code: number};
+type Row = {title: string; method?: 'PUT' | 'POST' | 'GET' | 'DELETE'; path?: string; body?: string | Uint8Array; headers?: Record<string, string>; code: number};
 const rows: Row[] = [
 	{title: 'broken JSON', body: '{"route":', code: results.badInput.code},
+	{title: 'a body that is not UTF-8', body: Buffer.from(job({tasks: [{body: '\u00E9'}]}), 'latin1'), code: results.badInput.code},
 	{title: 'no body', body: '', code: results.badInput.code},
 	{title: 'no tasks', body: job({tasks: []}), code: results.badInput.code},
 	{title: '271 tasks', body: job({tasks: Array.from({length: 271}, () => one[0])}), code: results.badInput.code},
--- a/test/link-features.test.ts
+++ b/test/link-features.test.ts
@@ -258,6 +258,7 @@
 	['a frame of something else than a list', ['msgpack'], codecLine('msgpack'), frame(0x01)],
 	['a frame of a reserved type', ['msgpack'], codecLine('msgpack'), frame(0x91, 0xC1)],
 	['a frame of a message that the schema refuses', ['msgpack'], codecLine('msgpack'), [...createMsgpackFrames().encode([{kind: 'room'}])]],
+	['a line that is not UTF-8', ['specs'], '[{"kind":"later","text":"', [0xFF, ...new TextEncoder().encode('"}]\n')]],
 	['a line after the switch', ['msgpack'], codecLine('msgpack'), [...new TextEncoder().encode('[{"kind":"offer"}]\n')]],
 	['a switch that was not agreed', ['specs'], codecLine('msgpack'), []],
 	['a switch to an unknown codec', ['msgpack'], codecLine('other'), []],
--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -1,10 +1,19 @@
 import {Buffer} from 'node:buffer';
+import type {AddressInfo} from 'node:net';
 import {isDeepStrictEqual} from 'node:util';
 import test from 'ava';
 import fc from 'fast-check';
+import {request} from 'undici';
+import {listenForReports} from '../platform/registry.js';
+import {systemClock} from '../src/adapters/clock.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
+import {silentLog} from './ephemeral-cluster.js';
 import {WholeWay} from './whole-way.js';
 
+/** A worker's report of itself. */
+const report = {
+	service: 'p', addr: '10.0.0.1:80', zone: 'z', state: 'ready', capacity: {cpu: 1, mem_mb: 1, gpu: 0}, labels: ['LABEL'], clock_ms: 1, seq: 1, born: 1,
+};
 /** The length of the prefix of a frame, in bytes. */
 const prefixBytes = 4;
 /** The byte order mark, a character of a text as any other. */
@@ -54,3 +63,50 @@
 		return status === 200 && way.specs.at(-1) === text;
 	}), {seed: 51, numRuns: 100}));
 });
+
+/** Bytes that are not valid UTF-8. */
+const invalidBytes = [
+	['a lone byte', [0xFF]],
+	['an overlong form', [0xC0, 0xAF]],
+	['a surrogate in three bytes', [0xED, 0xA0, 0x80]],
+	['a sequence that is cut', [0xE2, 0x82]],
+	['a character above U+10FFFF', [0xF4, 0x90, 0x80, 0x80]],
+] as const;
+const quoted = (bytes: readonly number[]): Uint8Array => Buffer.from([0x22, 0x61, ...bytes, 0x22]);
+
+for (const [title, bytes] of invalidBytes) {
+	// Guards against a task that is started with U+FFFD in place of what its caller sent.
+	test(`texts: a submission with ${title} where UTF-8 is expected is refused, and nothing of it runs`, async t => {
+		const way = await WholeWay.create(t);
+		for (const isChunked of [false, true]) {
+			t.is(await way.submit(quoted(bytes), isChunked), 400);
+		}
+
+		t.deepEqual(way.specs, []);
+		t.is(await way.submit(Buffer.from('"a"')), 200);
+	});
+
+	// Guards against a worker that is placed by a name that it did not say.
+	test(`texts: a worker's report with ${title} where UTF-8 is expected is refused`, async t => {
+		const heard: string[] = [];
+		const server = await listenForReports('127.0.0.1:0', {
+			reported({worker}) {
+				heard.push(`report of ${worker.labels.join(' ')}`);
+			},
+			left: () => undefined,
+			malformed(life) {
+				heard.push(`malformed report of ${life}`);
+			},
+			failed: () => undefined,
+		}, {clock: systemClock, log: silentLog});
+		t.teardown(() => {
+			server.close();
+		});
+		const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/sniperidge/instances/i-1`;
+		const [before, after] = JSON.stringify(report).split('"LABEL"') as [string, string];
+		const {statusCode, body} = await request(url, {method: 'PUT', body: Buffer.concat([Buffer.from(before), quoted(bytes), Buffer.from(after)])});
+		await body.dump();
+		t.is(statusCode, 400);
+		t.deepEqual(heard, ['malformed report of i-1']);
+	});
+}
--- a/test/whole-way.ts
+++ b/test/whole-way.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {AddressInfo} from 'node:net';
+import {Readable} from 'node:stream';
 import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {decodeDesired} from '../platform/desired.js';
@@ -103,12 +104,13 @@
 	/** `specs`: what the worker was told to start, in order. */
 	private constructor(private readonly prefix: string, readonly specs: readonly string[]) {}
 
-	/** Submits a job of one task whose spec is a JSON string given as bytes, quotes included. Resolves to the answer's status. */
-	async submit(spec: Uint8Array): Promise<number> {
+	/** Submits a job of one task whose spec is a JSON string given as bytes, quotes included, in chunks or with its length. Resolves to the answer's status. */
+	async submit(spec: Uint8Array, isChunked = false): Promise<number> {
+		const bytes = Buffer.concat([Buffer.from('{"spec":'), spec, Buffer.from(',"best_effort":true,"steps":[{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":1}]}')]);
 		const {statusCode, body} = await request(`${this.prefix}${String(this.jobs++).padStart(16, '0')}`, {
 			method: 'POST',
 			headers: {host: 'a.example', 'content-type': 'application/json'},
-			body: Buffer.concat([Buffer.from('{"spec":'), spec, Buffer.from(',"best_effort":true,"steps":[{"count":1,"cpu":1,"mem_mb":1,"estimate_ms":1}]}')]),
+			body: isChunked ? Readable.from([bytes]) : bytes,
 		});
 		await body.dump();
 		return statusCode;
