Refuse texts with an unpaired surrogate

What callers saw: a job whose spec has an unpaired surrogate (`\ud800` in the JSON text) was answered `completed`, and its worker had been told U+FFFD there. A task of the callers' API the same.

Cause: such a character has no form in UTF-8. JSON can escape it, so that a listener takes it, but the frames of the links, the bytes of a task and the platform's rows can't hold it, and each encoder puts U+FFFD for it.

Weighed: carrying it whole would need another encoding in each of them, and a back end in a language whose texts are UTF-8 could not read it all the same. RFC 7493, section 2.1, forbids it. So the text is refused where it enters.

A submission gets 400 before anything of it runs, a report 400, a job of the callers' API 400 `badInput`. A route whose name, host, prefix or pool has one is left out of the desired state, and named among its problems.

A property over texts of escapes, backslashes and surrogates finds that no other text is refused.

--- a/src/ephemeral/frames.ts
+++ b/src/ephemeral/frames.ts
@@ -3,7 +3,7 @@
 // This part of the library loads no native add-on, so that it can be bundled. Its own types can't be resolved.
 import * as msgpackrPack from 'msgpackr/pack';
 import {GrowableBuffer} from '../growable-buffer.js';
-import {decodeJson} from '../text.js';
+import {decodeText} from '../text.js';
 import {withSpareMarks} from './byte-order-marks.js';
 
 const library = msgpackrPack as unknown as typeof msgpackr;
@@ -24,7 +24,7 @@
 /** A list of messages as a line of JSON. */
 export const jsonLines: Codec = {
 	encode: messages => Buffer.from(`${JSON.stringify(messages)}\n`),
-	decode: decodeJson,
+	decode: content => JSON.parse(decodeText(content)) as unknown,
 };
 
 /**
--- a/src/ephemeral/parts.ts
+++ b/src/ephemeral/parts.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {GrowableBuffer} from '../growable-buffer.js';
-import {decodeJson} from '../text.js';
+import {decodeText} from '../text.js';
 import {blockLimitBytes} from './frames.js';
 
 /** The longest part of a long message, in bytes. */
@@ -81,6 +81,6 @@
 			return undefined;
 		}
 
-		return decodeJson(this.held.take());
+		return JSON.parse(decodeText(this.held.take())) as unknown;
 	}
 }
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -25,6 +25,7 @@
 const rows: Row[] = [
 	{title: 'broken JSON', body: '{"route":', code: results.badInput.code},
 	{title: 'a body that is not UTF-8', body: Buffer.from(job({tasks: [{body: '\u00E9'}]}), 'latin1'), code: results.badInput.code},
+	{title: 'a task with an unpaired surrogate', body: job({tasks: [{body: '\uD800'}]}), code: results.badInput.code},
 	{title: 'no body', body: '', code: results.badInput.code},
 	{title: 'no tasks', body: job({tasks: []}), code: results.badInput.code},
 	{title: '271 tasks', body: job({tasks: Array.from({length: 271}, () => one[0])}), code: results.badInput.code},
--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -4,9 +4,11 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {request} from 'undici';
-import {listenForReports} from '../platform/registry.js';
+import {decodeDesired} from '../platform/desired.js';
+import {decodeReport, listenForReports} from '../platform/registry.js';
 import {systemClock} from '../src/adapters/clock.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
+import {parseJson} from '../src/text.js';
 import {silentLog} from './ephemeral-cluster.js';
 import {WholeWay} from './whole-way.js';
 
@@ -64,6 +66,68 @@
 	}), {seed: 51, numRuns: 100}));
 });
 
+for (const [title, spec, told] of [
+	['an unpaired surrogate first', String.raw`\ud800 cake`, undefined],
+	['an unpaired surrogate last', String.raw`cake \udc00`, undefined],
+	['two surrogates in the wrong order', String.raw`\udc00\ud800`, undefined],
+	['an unpaired surrogate first in a long text', String.raw`\ud800` + 'cake '.repeat(100), undefined],
+	['an unpaired surrogate last in a long text', 'cake '.repeat(100) + String.raw`\uDFFF`, undefined],
+	['a pair of surrogates', String.raw`\ud83c\udf82`, '🎂'],
+	['an escaped escape', String.raw`\\ud800`, String.raw`\ud800`],
+] as const) {
+	// Guards against a task that is started with U+FFFD in place of a surrogate, which has no form in UTF-8.
+	test(`texts: a spec with ${title} is ${told === undefined ? 'refused, and nothing of it runs' : 'told whole'}`, async t => {
+		const way = await WholeWay.create(t);
+		t.is(await way.submit(Buffer.from(`"${spec}"`)), told === undefined ? 400 : 200);
+		t.deepEqual(way.specs, told === undefined ? [] : [told]);
+	});
+}
+
+// Guards against a check that passes over an unpaired surrogate, or takes an escaped backslash for one.
+test('texts: JSON with an unpaired surrogate is refused, and no other', t => {
+	const anyPieces = fc.array(fc.constantFrom('\\', '"', 'u', 'd800', String.raw`\ud800`, '\uD800', '\uDC00', '🎂'), {maxLength: 8});
+	const escaped = (json: string) => Array.from({length: json.length}, (_, index) => json[index]!)
+		.map(unit => unit > '\u007F' ? String.raw`\u` + unit.codePointAt(0)!.toString(16) : unit).join('');
+	const isTaken = (json: string): boolean => {
+		try {
+			return isDeepStrictEqual(parseJson(json), JSON.parse(json));
+		} catch {
+			return false;
+		}
+	};
+
+	t.notThrows(() => {
+		fc.assert(fc.property(anyPieces, pieces => {
+			const text = pieces.join('');
+			const documents = [JSON.stringify(text), JSON.stringify([{[text]: 1}])];
+			return [...documents, ...documents.map(json => escaped(json))].every(json => isTaken(json) === text.isWellFormed());
+		}), {seed: 51, numRuns: 2000});
+	});
+});
+
+for (const [title, value] of [
+	['a field', {...report, zone: '\uD800'}],
+	['a label', {...report, labels: ['a', `${'k'.repeat(80)}\uDC00`]}],
+	['a key', {...report, '\uD800': 1}],
+] as const) {
+	// Guards against a worker that other processes know by another name than its sidecar does.
+	test(`texts: a worker's report with an unpaired surrogate in ${title} is refused`, t => {
+		t.is(typeof decodeReport('i-1', JSON.stringify(value)), 'string');
+	});
+}
+
+for (const field of ['name', 'host', 'path_prefix', 'service'] as const) {
+	// Guards against jobs that a cancelling does not reach, since other entries know their route by another name.
+	test(`texts: a route with an unpaired surrogate in its ${field} is left out, and named`, t => {
+		const route = {
+			name: 'r', host: 'a.example', path_prefix: '/p/', service: 's',
+		};
+		const desired = decodeDesired(new Map([['config', JSON.stringify({version: 1, routes: [{...route, [field]: '/p/\uD800'}, route]})]]))!;
+		t.deepEqual(desired.queues.map(({name, host, prefix, pool}) => [name, host, prefix, pool]), [['r', 'a.example', '/p/', 's']]);
+		t.regex(desired.problems.join(' '), new RegExp(String.raw`routes\.0\.${field}`, 'v'));
+	});
+}
+
 /** Bytes that are not valid UTF-8. */
 const invalidBytes = [
 	['a lone byte', [0xFF]],
