--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -6,10 +6,14 @@
 import {request} from 'undici';
 import {decodeDesired} from '../platform/desired.js';
 import {decodeReport, listenForReports} from '../platform/registry.js';
+import {Store} from '../platform/store.js';
+import {openWorker} from '../platform/worker.js';
 import {systemClock} from '../src/adapters/clock.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
+import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 import {parseJson} from '../src/text.js';
 import {silentLog} from './ephemeral-cluster.js';
+import {serve} from './local-server.js';
 import {WholeWay} from './whole-way.js';
 
 /** A worker's report of itself. */
@@ -128,6 +132,49 @@
 	});
 }
 
+/** Returns JSON with a lone byte 0xFF in place of each `?`. */
+const spoilt = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value)).map(byte => byte === 0x3F ? 0xFF : byte);
+
+// Guards against one text after which the runs and ends of a worker are never read again: it is replaced, and names no run.
+test('texts: a text of a worker\'s answer that is not UTF-8 hides nothing else of it', async t => {
+	const address = await serve(t, (_request, _url, response) => {
+		response.end(spoilt({
+			clock_ms: 5, born: 9, running: [['t', 1, '?', 50], ['?', 2, '', 50]], ended: [[1, 'u', 1, 'done', '?']],
+		}));
+	});
+	const worker = openWorker(address);
+	t.teardown(async () => worker.close());
+	const look = await worker.poll({
+		fence: 1, leaseUntil: 1, seen: 0, waitMs: 0, marginMs: 1000,
+	}, 'i-1');
+	t.deepEqual(look as Record<string, unknown>, {
+		kind: 'seen', clock: 5, born: 9, running: [{task: 't', number: 1}, {task: '\uFFFD', number: 2}], ended: [{
+			sequence: 1, task: 'u', number: 1, ending: 'done',
+		}],
+	});
+});
+
+// Guards against a desired state in force that the operator did not write.
+test('texts: a row of the store whose value is not UTF-8 holds no text, and the others are read', async t => {
+	const rowOf = (key: string, value: Uint8Array) => ({
+		table: 'op', part: '', key, ver: 1, value: Buffer.from(value).toString('base64'),
+	});
+	const rows = [rowOf('config', spoilt({version: 1, routes: [{name: '?'}]})), rowOf('evacuate/z', Buffer.from('{}'))];
+	const address = await serve(t, (_request, {pathname}, response) => {
+		if (pathname === '/sniperidge/rows-get') {
+			response.end(JSON.stringify({ver: 1, rows}));
+		}
+	});
+	const store = Store.create(address, systemClock, silentLog, DispatcherMetrics.create());
+	const read = await new Promise<ReadonlyMap<string, string>>(resolve => {
+		void store.follow('op', snapshot => {
+			resolve(snapshot.rows);
+		});
+	});
+	await store.close();
+	t.deepEqual([...read], [['config', ''], ['evacuate/z', '{}']]);
+});
+
 /** Bytes that are not valid UTF-8. */
 const invalidBytes = [
 	['a lone byte', [0xFF]],
