Answer a text that is not UTF-8 in base64

What callers saw: where a back end answered `text/…` or `application/json` in another encoding, the task's answer had U+FFFD in place of those bytes, marked as `utf8`, though the job was complete.

Cause: the answer of a task was made text by its content type alone.

Change: text that is not valid UTF-8 goes out as any other bytes do, in base64 with `"encoding":"base64"`.

Evidence: two tests fail on the code before (a text in ISO 8859-2, JSON with a byte 0xFF) and pass.

--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {Buffer, isUtf8} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import * as z from 'zod';
@@ -236,8 +236,10 @@
 	return hash.digest('hex');
 }
 
+/** Returns an item as callers get it: as text if it is text in UTF-8, else in base64. */
 function renderItem(item: Item): Item & {encoding: 'utf8' | 'base64'} {
-	const text = /^(?:text\/|application\/json)/v.test(item.contentType);
-	return {...item, body: text ? Buffer.from(item.body, 'base64').toString() : item.body, encoding: text ? 'utf8' : 'base64'};
+	const bytes = Buffer.from(item.body, 'base64');
+	const isText = /^(?:text\/|application\/json)/v.test(item.contentType) && isUtf8(bytes);
+	return {...item, body: isText ? bytes.toString() : item.body, encoding: isText ? 'utf8' : 'base64'};
 }
 
--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {AddressInfo} from 'node:net';
 import {isDeepStrictEqual} from 'node:util';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import {request} from 'undici';
 import {decodeDesired} from '../platform/desired.js';
@@ -9,6 +9,7 @@
 import {Store} from '../platform/store.js';
 import {openWorker} from '../platform/worker.js';
 import {systemClock} from '../src/adapters/clock.js';
+import {buildCallerApi, type Dependencies} from '../src/entry/caller-api.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
 import {parseJson} from '../src/text.js';
@@ -175,6 +176,37 @@
 	t.deepEqual([...read], [['config', ''], ['evacuate/z', '{}']]);
 });
 
+/** Answers a look-up of a job with what the back end of its only task answered. Returns the task as its caller gets it. */
+async function lookUp(t: ExecutionContext, contentType: string, bytes: Uint8Array): Promise<{body: string; encoding: 'utf8' | 'base64'}> {
+	const answer = {
+		code: 0, items: [{
+			body: Buffer.from(bytes).toString('base64'), contentType, place: 'minion-0', ranMs: 1,
+		}],
+	};
+	const app = buildCallerApi({
+		jobs: {isDraining: false, lookUp: async () => answer}, watcher: {config: {memberByTokenHash: () => 'alpha'}}, metrics: {countResponse: () => undefined}, isJoined: () => true,
+	} as unknown as Dependencies);
+	t.teardown(async () => app.close());
+	const reply = await app.inject({method: 'GET', url: '/v1/jobs/k', headers: {authorization: 'Bearer token'}});
+	return reply.json<{tasks: Array<{body: string; encoding: 'utf8' | 'base64'}>}>().tasks[0]!;
+}
+
+for (const [title, contentType, bytes, encoding] of [
+	['a text', 'text/plain', Buffer.from('š'), 'utf8'],
+	['a text that begins with a byte order mark', 'text/plain', Buffer.from(`${mark}š`), 'utf8'],
+	['JSON', 'application/json', Buffer.from('{"ok":true}'), 'utf8'],
+	['a text in another encoding', 'text/plain; charset=iso-8859-2', Uint8Array.from([0xB9]), 'base64'],
+	['JSON that is not UTF-8', 'application/json', Uint8Array.from([0x22, 0xFF, 0x22]), 'base64'],
+	['an image', 'image/png', Uint8Array.from([0x89]), 'base64'],
+] as const) {
+	// Guards against an answer that its caller gets with U+FFFD in place of what the back end said.
+	test(`texts: where a back end answers ${title}, its caller can tell the same bytes from ${encoding}`, async t => {
+		const task = await lookUp(t, contentType, bytes);
+		t.is(task.encoding, encoding);
+		t.deepEqual([...Buffer.from(task.body, task.encoding)], [...bytes]);
+	});
+}
+
 /** Bytes that are not valid UTF-8. */
 const invalidBytes = [
 	['a lone byte', [0xFF]],
