Refuse a task's body that is said to be base64 and is not

What callers saw: such a job was answered `complete`, and its back end had got other bytes: the decoder passes over what is no base64, and drops what is left of a text that is cut.

Change: a job of the callers' API with such a body gets 400 `badInput`, and nothing of it runs. Base64 with the alphabet of URLs, without padding and in lines is taken as before.

Evidence: two rows of test/input.test.ts fail on the code before and pass; the three forms in use pass before and after.

--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -22,6 +22,12 @@
 
 const maxDeadlineMs = 600_000;
 
+/** Returns whether a text is base64 (RFC 4648, sections 4 and 5), with or without padding and line breaks. `Buffer` passes over anything else in it. */
+function isBase64(text: string): boolean {
+	const digits = text.replaceAll(/\s/gv, '').replace(/={0,2}$/v, '');
+	return /^[\w\-+\/]*$/v.test(digits) && digits.length % 4 !== 1;
+}
+
 /** The body of `PUT /v1/jobs/{key}`. */
 export const jobSchema = z.strictObject({
 	route: nameSchema,
@@ -31,7 +37,7 @@
 		encoding: z.enum(['utf8', 'base64']).default('utf8'),
 		expectMs: z.number().positive().max(maxDeadlineMs).optional(),
 		contentType: z.string().max(200).regex(/^[\u0020-\u007E]+$/v, 'printable ASCII').default('application/json'),
-	})).min(1).max(taskLimit),
+	}).refine(({body, encoding}) => encoding === 'utf8' || isBase64(body), {path: ['body'], error: 'expected base64'})).min(1).max(taskLimit),
 });
 
 /** A job's key: no slash, no control character, at most 200 characters. */
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -26,6 +26,8 @@
 	{title: 'broken JSON', body: '{"route":', code: results.badInput.code},
 	{title: 'a body that is not UTF-8', body: Buffer.from(job({tasks: [{body: '\u00E9'}]}), 'latin1'), code: results.badInput.code},
 	{title: 'a task with an unpaired surrogate', body: job({tasks: [{body: '\uD800'}]}), code: results.badInput.code},
+	{title: 'a task that is said to be base64 and is not', body: job({tasks: [{body: '{"ms":5}', encoding: 'base64'}]}), code: results.badInput.code},
+	{title: 'a task whose base64 is cut', body: job({tasks: [{body: 'eyJtc', encoding: 'base64'}]}), code: results.badInput.code},
 	{title: 'no body', body: '', code: results.badInput.code},
 	{title: 'no tasks', body: job({tasks: []}), code: results.badInput.code},
 	{title: '271 tasks', body: job({tasks: Array.from({length: 271}, () => one[0])}), code: results.badInput.code},
@@ -104,6 +106,16 @@
 	t.is((await cluster.put(entry!, 'reuse', [{ms: 6}], {member: 'beta'}))?.result, 0);
 });
 
+for (const [index, body] of ['eyJtcyI6NX0=', 'eyJtcyI6NX0', 'eyJt\r\ncyI6\r\nNX0=\r\n'].entries()) {
+	// Guards against a check of base64 that refuses the forms in use: with padding, without, and in lines.
+	test.serial(`callers: a task in base64 is run: ${JSON.stringify(body)}`, async t => {
+		const {cluster} = t.context;
+		const reply = await cluster.ask(cluster.entries[0]!.urls.callers!, {method: 'PUT', path: `/v1/jobs/base64-${index}`, body: job({tasks: [{body, encoding: 'base64'}]})});
+		t.is(reply?.result, 0);
+		t.is((JSON.parse(reply!.body.tasks![0]!.body) as {size: number}).size, '{"ms":5}'.length);
+	});
+}
+
 test.serial('callers: an async job is accepted and cancelled, and the answer says whether it had started', async t => {
 	const {cluster} = t.context;
 	const [entry] = cluster.entries;
