Submit a file's bytes as they are

What callers saw: `sniperidge jobs submit` with a file in another encoding sent U+FFFD in place of its characters, and the job ran so.

Cause: the command read the file as UTF-8 by a decoder that replaces what it can't read, so that the entry could not refuse it.

Change: the command sends the bytes.

Evidence: the test of the command line fails on the code before (the job reached the claim) and passes: the entry answers that the body is not UTF-8, exit code 3.

--- a/src/cli/ask.ts
+++ b/src/cli/ask.ts
@@ -4,7 +4,7 @@
 export type Answer = {status: number; result: number | undefined; etag: string | undefined; body: unknown};
 
 /** Asking is one request of a command. */
-export type Asking = {method: 'GET' | 'PUT' | 'DELETE' | 'POST'; url: string; token: string | undefined; headers?: Record<string, string>; body?: string};
+export type Asking = {method: 'GET' | 'PUT' | 'DELETE' | 'POST'; url: string; token: string | undefined; headers?: Record<string, string>; body?: string | Uint8Array};
 
 /** Sends one request. Resolves to nothing when no answer came. */
 export async function ask({method, url, token, headers, body}: Asking): Promise<Answer | undefined> {
--- a/src/cli/jobs.ts
+++ b/src/cli/jobs.ts
@@ -10,7 +10,7 @@
 	json = Option.Boolean('--json', false, {description: 'one line of JSON'});
 	key = Option.String({required: true, name: 'key'});
 
-	protected async ask(method: 'GET' | 'PUT' | 'DELETE', headers?: Record<string, string>, body?: string): Promise<number> {
+	protected async ask(method: 'GET' | 'PUT' | 'DELETE', headers?: Record<string, string>, body?: Uint8Array): Promise<number> {
 		const token = this.tokenFile === undefined ? process.env.SNIPERIDGE_TOKEN : readFileSync(this.tokenFile, 'utf8').trim();
 		return this.finish(await ask({
 			method, url: `${this.url}/v1/jobs/${encodeURIComponent(this.key)}`, token, headers, body,
@@ -45,7 +45,8 @@
 	wait = Option.Boolean('--wait', true, {description: 'wait for the answer (--no-wait: until accepted)'});
 
 	async execute(): Promise<number> {
-		return this.ask('PUT', this.wait ? {} : {prefer: 'respond-async'}, readFileSync(this.file, 'utf8'));
+		// The bytes go out as they are: the entry refuses what is not UTF-8.
+		return this.ask('PUT', this.wait ? {} : {prefer: 'respond-async'}, readFileSync(this.file));
 	}
 }
 
--- a/test/cluster.ts
+++ b/test/cluster.ts
@@ -72,7 +72,7 @@
 /** Administered is what the operators' port answered. */
 export type Administered = {status: number; etag: string; body: Record<string, unknown>};
 
-const members = {alpha: 'token-alpha-1', beta: 'token-beta-22'} as const;
+export const members = {alpha: 'token-alpha-1', beta: 'token-beta-22'} as const;
 
 /** MemberName is one of the two members of a test cluster. */
 export type MemberName = keyof typeof members;
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -8,7 +8,7 @@
 import anyTest, {type TestFn} from 'ava';
 import {request} from 'undici';
 import {results, resultOf} from '../src/results.js';
-import {Cluster} from './cluster.js';
+import {Cluster, members} from './cluster.js';
 
 const test = anyTest as TestFn<{cluster: Cluster}>;
 
@@ -207,6 +207,12 @@
 	t.is(command(['routes', 'set', 'lost', '{"pool":"nowhere","repeatable":true}'], operator).status, 3);
 	t.is(command(['status'], {...operator, SNIPERIDGE_OPERATORS_URL: 'http://127.0.0.1:1'}).status, 5);
 	t.is(command(['routes', 'set', 'lost', '{'], operator).status, 1);
+	const job = join(mkdtempSync(join(tmpdir(), 'sniperidge-')), 'job.json');
+	writeFileSync(job, '{"route":"task","tasks":[{"body":"\u00E9"}]}', 'latin1');
+	// A file in another encoding reaches the entry as it is, and is refused there.
+	const submitted = command(['jobs', 'submit', '--json', 'latin-1', job], {SNIPERIDGE_URL: urls.callers!, SNIPERIDGE_TOKEN: members.alpha});
+	t.is(submitted.status, 3);
+	t.regex(submitted.stdout, /UTF-8/v);
 	const file = join(mkdtempSync(join(tmpdir(), 'sniperidge-')), 'entry.json');
 	writeFileSync(file, JSON.stringify({
 		name: 'entry', zone: 'a/b', store: {url: 'http://127.0.0.1:1', timeoutMs: -1}, hurry: 1,
