Take no answer of the table service or a worker that is not UTF-8

What callers could see: none reported. A row, a handover or an answer that is kept in the object store would have been read with U+FFFD in it. An answer that is no JSON rejected with another error than the port names.

Cause: answers were made text by a decoder that replaces what it can't read.

Change: such an answer is none. `Table` rejects with `StoreError`, which says that a write may have taken effect.

--- a/src/adapters/sessions.ts
+++ b/src/adapters/sessions.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '../ports/clock.js';
 import type {ObjectStore} from '../ports/objects.js';
 import type {Row, Table} from '../ports/table.js';
+import {decodeText} from '../text.js';
 
 /** The delay before a failed write is retried, in milliseconds. */
 const retryMs = 500;
@@ -78,7 +79,7 @@
 /** Reads the handover of a session; undefined when it left none. Rejects with `StoreError`. */
 export async function readHandover(objects: ObjectStore, session: string): Promise<HandedTask[] | undefined> {
 	const object = await objects.get(handoverKey(session));
-	return object && JSON.parse(Buffer.from(object).toString()) as HandedTask[];
+	return object && JSON.parse(decodeText(object)) as HandedTask[];
 }
 
 function handoverKey(session: string): string {
--- a/src/adapters/table.ts
+++ b/src/adapters/table.ts
@@ -4,6 +4,7 @@
 	StoreError, type Listing, type Query, type Table, type Transaction, type TransactionResult,
 } from '../ports/table.js';
 import type {ObjectStore} from '../ports/objects.js';
+import {decodeText} from '../text.js';
 
 /** StoreOptions are the URL of the platform's service and the timeout of a request, in milliseconds. */
 export type StoreOptions = {url: string; timeoutMs: number};
@@ -46,7 +47,7 @@
 	return {
 		async write(transactions: Transaction[]): Promise<TransactionResult[]> {
 			const reply = await send('POST', '/v1/transactions', JSON.stringify({transactions}));
-			return (JSON.parse(Buffer.from(reply.body).toString()) as {results: TransactionResult[]}).results;
+			return (decodeAnswer(reply.body) as {results: TransactionResult[]}).results;
 		},
 		async list(query: Query): Promise<Listing> {
 			const search = new URLSearchParams({tables: query.tables.join(',')});
@@ -64,7 +65,7 @@
 			}
 
 			const reply = await send('GET', `/v1/rows?${search.toString()}`);
-			return JSON.parse(Buffer.from(reply.body).toString()) as Listing;
+			return decodeAnswer(reply.body) as Listing;
 		},
 		async put(key, body) {
 			await send('PUT', `/v1/objects/${encodeURIComponent(key)}`, body);
@@ -78,3 +79,11 @@
 		},
 	};
 }
+
+function decodeAnswer(body: Uint8Array): unknown {
+	try {
+		return JSON.parse(decodeText(body)) as unknown;
+	} catch (error) {
+		throw StoreError.create(`the platform's answer can't be read: ${(error as Error).message}`, true, error);
+	}
+}
--- a/src/adapters/worker.ts
+++ b/src/adapters/worker.ts
@@ -1,6 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
 import type {Size} from '../decide/packing.js';
 import type {Answer, RunControl, Run} from '../ports/upstream.js';
+import {decodeText} from '../text.js';
 import {sendRun, runHeaders} from './backend.js';
 
 /** WorkerUsage is the resources that a worker used at a wall-clock time of its own clock. */
@@ -38,12 +40,12 @@
 			body: value === undefined ? undefined : JSON.stringify(value),
 			signal: AbortSignal.timeout(requestTimeoutMs),
 		});
-		const body = await reply.body.text();
+		const bytes = Buffer.from(await reply.body.arrayBuffer());
 		if (reply.statusCode >= 300) {
-			throw new Error(`the worker answered ${reply.statusCode}: ${body}`);
+			throw new Error(`the worker answered ${reply.statusCode}: ${bytes.toString()}`);
 		}
 
-		return JSON.parse(body);
+		return JSON.parse(decodeText(bytes));
 	}
 
 	return {
--- a/src/entry/claim-store.ts
+++ b/src/entry/claim-store.ts
@@ -8,6 +8,7 @@
 import type {Peers} from '../ports/peer.js';
 import type {Row, Transaction, TransactionResult} from '../ports/table.js';
 import {resultOf, results} from '../results.js';
+import {decodeText} from '../text.js';
 import type {TableWatcher} from './table-watcher.js';
 import {collectClaim, type TakeoverResult} from './takeover.js';
 
@@ -179,7 +180,7 @@
 
 		try {
 			const object = await this.dependencies.store.get(outcome.object);
-			return object ? {...outcome, items: JSON.parse(Buffer.from(object).toString()) as Item[]} : {code: results.unknown.code, detail: 'the answer is no longer stored'};
+			return object ? {...outcome, items: JSON.parse(decodeText(object)) as Item[]} : {code: results.unknown.code, detail: 'the answer is no longer stored'};
 		} catch {
 			return {code: results.unknown.code, detail: 'the job has ended and its answer cannot be read now'};
 		}
--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -9,6 +9,8 @@
 import {Store} from '../platform/store.js';
 import {openWorker} from '../platform/worker.js';
 import {systemClock} from '../src/adapters/clock.js';
+import {openStore} from '../src/adapters/table.js';
+import {openWorker as openWorkerClient} from '../src/adapters/worker.js';
 import {buildCallerApi, type Dependencies} from '../src/entry/caller-api.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
@@ -176,6 +178,24 @@
 	t.deepEqual([...read], [['config', ''], ['evacuate/z', '{}']]);
 });
 
+// Guards against a row that nobody wrote, and against an error that its readers don't expect.
+test('texts: an answer of the table service or of a worker that is not UTF-8 is none', async t => {
+	const address = await serve(t, (_request, _url, response) => {
+		response.end(spoilt({
+			rows: [], tasks: [], results: [], note: '?',
+		}));
+	});
+	const store = openStore({url: `http://${address}`, timeoutMs: 1000});
+	const client = openWorkerClient(`http://${address}`);
+	t.teardown(async () => {
+		await store.close();
+		await client.close();
+	});
+	await t.throwsAsync(async () => store.list({tables: ['claims']}), {name: 'StoreError'});
+	await t.throwsAsync(async () => store.write([]), {name: 'StoreError'});
+	await t.throwsAsync(async () => client.acquireLease('s', 1), {message: /UTF-8/v});
+});
+
 /** Answers a look-up of a job with what the back end of its only task answered. Returns the task as its caller gets it. */
 async function lookUp(t: ExecutionContext, contentType: string, bytes: Uint8Array): Promise<{body: string; encoding: 'utf8' | 'base64'}> {
 	const answer = {
