Refuse a settings file that is not UTF-8

Cause: the file was read by a decoder that replaces what it can't read, so that a process could run with another name, zone or address than its operator wrote.

Change: `loadSettings` throws `SettingsError`, which names the file.

--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {readFileSync} from 'node:fs';
 import {type z} from 'zod';
+import {decodeJson} from '../text.js';
 
 /** SettingsError names the file and every invalid field, with the value found and the rule that it breaks. */
 export class SettingsError extends Error {
@@ -18,7 +19,7 @@
 export function loadSettings<Schema extends z.ZodType>(schema: Schema, file: string): z.infer<Schema> {
 	let value: unknown;
 	try {
-		value = JSON.parse(readFileSync(file, 'utf8'));
+		value = decodeJson(readFileSync(file));
 	} catch (error) {
 		throw SettingsError.create(file, [(error as Error).message]);
 	}
--- a/test/texts.test.ts
+++ b/test/texts.test.ts
@@ -1,9 +1,13 @@
 import {Buffer} from 'node:buffer';
+import {mkdtempSync, writeFileSync} from 'node:fs';
 import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {isDeepStrictEqual} from 'node:util';
 import test, {type ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import {request} from 'undici';
+import * as z from 'zod';
 import {decodeDesired} from '../platform/desired.js';
 import {decodeReport, listenForReports} from '../platform/registry.js';
 import {Store} from '../platform/store.js';
@@ -14,6 +18,7 @@
 import {buildCallerApi, type Dependencies} from '../src/entry/caller-api.js';
 import {createMsgpackFrames} from '../src/ephemeral/frames.js';
 import {DispatcherMetrics} from '../src/ephemeral/metrics.js';
+import {loadSettings} from '../src/settings/load.js';
 import {parseJson} from '../src/text.js';
 import {silentLog} from './ephemeral-cluster.js';
 import {serve} from './local-server.js';
@@ -196,6 +201,13 @@
 	await t.throwsAsync(async () => client.acquireLease('s', 1), {message: /UTF-8/v});
 });
 
+// Guards against a process that runs under another name than its operator gave it.
+test('texts: a settings file that is not UTF-8 is refused', t => {
+	const file = path.join(mkdtempSync(path.join(tmpdir(), 'texts-')), 'settings.json');
+	writeFileSync(file, '{"name":"\u00E9"}', 'latin1');
+	t.throws(() => loadSettings(z.looseObject({name: z.string()}), file), {name: 'SettingsError', message: /UTF-8/v});
+});
+
 /** Answers a look-up of a job with what the back end of its only task answered. Returns the task as its caller gets it. */
 async function lookUp(t: ExecutionContext, contentType: string, bytes: Uint8Array): Promise<{body: string; encoding: 'utf8' | 'base64'}> {
 	const answer = {
