--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -244,8 +244,13 @@
 
 /** Returns an item as callers get it: as text if it is text in UTF-8, else in base64. */
 function renderItem(item: Item): Item & {encoding: 'utf8' | 'base64'} {
-	const bytes = Buffer.from(item.body, 'base64');
-	const isText = /^(?:text\/|application\/json)/v.test(item.contentType) && isUtf8(bytes);
-	return {...item, body: isText ? bytes.toString() : item.body, encoding: isText ? 'utf8' : 'base64'};
+	if (/^(?:text\/|application\/json)/v.test(item.contentType)) {
+		const bytes = Buffer.from(item.body, 'base64');
+		if (isUtf8(bytes)) {
+			return {...item, body: bytes.toString(), encoding: 'utf8'};
+		}
+	}
+
+	return {...item, encoding: 'base64'};
 }
 
--- a/src/text.ts
+++ b/src/text.ts
@@ -1,5 +1,8 @@
 import {Buffer, isUtf8} from 'node:buffer';
 
+/** An escape of a surrogate, whose backslash is not itself escaped. */
+const surrogateEscape = /(?<!\\)(?:\\\\)*\\u[Dd][89A-Fa-f]/v;
+
 /** Returns the text that bytes hold. Throws if they are not valid UTF-8: a decoder would put U+FFFD for what it can't read, and nobody sent that. */
 export function decodeText(bytes: Uint8Array): string {
 	if (!isUtf8(bytes)) {
@@ -24,6 +27,3 @@
 
 	return value;
 }
-
-/** An escape of a surrogate, whose backslash is not itself escaped. */
-const surrogateEscape = /(?<!\\)(?:\\\\)*\\u[Dd][89A-Fa-f]/v;
