--- a/src/entry/caller-api.ts
+++ b/src/entry/caller-api.ts
@@ -1,4 +1,4 @@
-import {Buffer} from 'node:buffer';
+import {Buffer, isUtf8} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import * as z from 'zod';
@@ -12,7 +12,7 @@
 import type {EntryMetrics} from './metrics.js';
 import {callerDocument} from './openapi.js';
 import {
-	parseBody, sendError, sendOutcome, setResultHeaders,
+	bytesOf, parseBody, sendError, sendOutcome, setResultHeaders,
 } from './problem.js';
 import type {TaskInput} from './job-execution.js';
 import type {JobAnswer, Submission} from './submission.js';
@@ -22,6 +22,12 @@
 
 const maxDeadlineMs = 600_000;
 
+/** Returns whether a text is base64 (RFC 4648, sections 4 and 5), with or without padding and line breaks. `Buffer` passes over anything else in it. */
+function isBase64(text: string): boolean {
+	const digits = text.replaceAll(/\s/gv, '').replace(/={0,2}$/v, '');
+	return /^[\w\-+\/]*$/v.test(digits) && digits.length % 4 !== 1;
+}
+
 /** The body of `PUT /v1/jobs/{key}`. */
 export const jobSchema = z.strictObject({
 	route: nameSchema,
@@ -31,7 +37,7 @@
 		encoding: z.enum(['utf8', 'base64']).default('utf8'),
 		expectMs: z.number().positive().max(maxDeadlineMs).optional(),
 		contentType: z.string().max(200).regex(/^[\u0020-\u007E]+$/v, 'printable ASCII').default('application/json'),
-	})).min(1).max(taskLimit),
+	}).refine(({body, encoding}) => encoding === 'utf8' || isBase64(body), {path: ['body'], error: 'expected base64'})).min(1).max(taskLimit),
 });
 
 /** A job's key: no slash, no control character, at most 200 characters. */
@@ -77,8 +83,7 @@
 	async put(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
 		const member = this.memberOf(request);
 		const key = keyOf(request);
-		const text = Buffer.from(bytesOf(request)).toString();
-		const job = parseBody(jobSchema, text, 'badInput');
+		const job = parseBody(jobSchema, bytesOf(request), 'badInput');
 		const settings = this.routeOf(job.route, member);
 		const bodies = job.tasks.map(task => ({bytes: Buffer.from(task.body, task.encoding), contentType: task.contentType, expectMs: task.expectMs}));
 		checkSizes(bodies, settings);
@@ -194,10 +199,6 @@
 	}
 }
 
-function bytesOf(request: FastifyRequest): Uint8Array {
-	return request.body instanceof Uint8Array ? request.body : new Uint8Array();
-}
-
 function keyOf(request: FastifyRequest): string {
 	return check(keySchema, (request.params as {key: string}).key, 'key');
 }
@@ -241,8 +242,15 @@
 	return hash.digest('hex');
 }
 
+/** Returns an item as callers get it: as text if it is text in UTF-8, else in base64. */
 function renderItem(item: Item): Item & {encoding: 'utf8' | 'base64'} {
-	const text = /^(?:text\/|application\/json)/v.test(item.contentType);
-	return {...item, body: text ? Buffer.from(item.body, 'base64').toString() : item.body, encoding: text ? 'utf8' : 'base64'};
+	if (/^(?:text\/|application\/json)/v.test(item.contentType)) {
+		const bytes = Buffer.from(item.body, 'base64');
+		if (isUtf8(bytes)) {
+			return {...item, body: bytes.toString(), encoding: 'utf8'};
+		}
+	}
+
+	return {...item, encoding: 'base64'};
 }
 
--- a/src/ephemeral/frames.ts
+++ b/src/ephemeral/frames.ts
@@ -2,7 +2,9 @@
 import type * as msgpackr from 'msgpackr';
 // This part of the library loads no native add-on, so that it can be bundled. Its own types can't be resolved.
 import * as msgpackrPack from 'msgpackr/pack';
-import {GrowableBuffer, textOf} from '../growable-buffer.js';
+import {GrowableBuffer} from '../growable-buffer.js';
+import {decodeText} from '../text.js';
+import {withSpareMarks} from './byte-order-marks.js';
 
 const library = msgpackrPack as unknown as typeof msgpackr;
 
@@ -22,7 +24,7 @@
 /** A list of messages as a line of JSON. */
 export const jsonLines: Codec = {
 	encode: messages => Buffer.from(`${JSON.stringify(messages)}\n`),
-	decode: content => JSON.parse(textOf(content)) as unknown,
+	decode: content => JSON.parse(decodeText(content)) as unknown,
 };
 
 /**
@@ -35,7 +37,7 @@
 	return {
 		encode(messages) {
 			// The first bytes are left free for the prefix.
-			const frame = packr.pack(messages, library.RESERVE_START_SPACE + prefixBytes);
+			const frame = packr.pack(withSpareMarks(messages), library.RESERVE_START_SPACE + prefixBytes);
 			frame.writeUInt32BE(frame.length - prefixBytes, 0);
 			return frame;
 		},
--- a/test/input.test.ts
+++ b/test/input.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {spawnSync} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -7,7 +8,7 @@
 import anyTest, {type TestFn} from 'ava';
 import {request} from 'undici';
 import {results, resultOf} from '../src/results.js';
-import {Cluster} from './cluster.js';
+import {Cluster, members} from './cluster.js';
 
 const test = anyTest as TestFn<{cluster: Cluster}>;
 
@@ -20,9 +21,13 @@
 
 const one = [{body: '{"ms":5}'}];
 const job = (fields: Record<string, unknown>) => JSON.stringify({route: 'task', tasks: one, ...fields});
-type Row = {title: string; method?: 'PUT' | 'POST' | 'GET' | 'DELETE'; path?: string; body?: string; headers?: Record<string, string>; code: number};
+type Row = {title: string; method?: 'PUT' | 'POST' | 'GET' | 'DELETE'; path?: string; body?: string | Uint8Array; headers?: Record<string, string>; code: number};
 const rows: Row[] = [
 	{title: 'broken JSON', body: '{"route":', code: results.badInput.code},
+	{title: 'a body that is not UTF-8', body: Buffer.from(job({tasks: [{body: '\u00E9'}]}), 'latin1'), code: results.badInput.code},
+	{title: 'a task with an unpaired surrogate', body: job({tasks: [{body: '\uD800'}]}), code: results.badInput.code},
+	{title: 'a task that is said to be base64 and is not', body: job({tasks: [{body: '{"ms":5}', encoding: 'base64'}]}), code: results.badInput.code},
+	{title: 'a task whose base64 is cut', body: job({tasks: [{body: 'eyJtc', encoding: 'base64'}]}), code: results.badInput.code},
 	{title: 'no body', body: '', code: results.badInput.code},
 	{title: 'no tasks', body: job({tasks: []}), code: results.badInput.code},
 	{title: '271 tasks', body: job({tasks: Array.from({length: 271}, () => one[0])}), code: results.badInput.code},
@@ -101,6 +106,16 @@
 	t.is((await cluster.put(entry!, 'reuse', [{ms: 6}], {member: 'beta'}))?.result, 0);
 });
 
+for (const [index, body] of ['eyJtcyI6NX0=', 'eyJtcyI6NX0', 'eyJt\r\ncyI6\r\nNX0=\r\n'].entries()) {
+	// Guards against a check of base64 that refuses the forms in use: with padding, without, and in lines.
+	test.serial(`callers: a task in base64 is run: ${JSON.stringify(body)}`, async t => {
+		const {cluster} = t.context;
+		const reply = await cluster.ask(cluster.entries[0]!.urls.callers!, {method: 'PUT', path: `/v1/jobs/base64-${index}`, body: job({tasks: [{body, encoding: 'base64'}]})});
+		t.is(reply?.result, 0);
+		t.is((JSON.parse(reply!.body.tasks![0]!.body) as {size: number}).size, '{"ms":5}'.length);
+	});
+}
+
 test.serial('callers: an async job is accepted and cancelled, and the answer says whether it had started', async t => {
 	const {cluster} = t.context;
 	const [entry] = cluster.entries;
@@ -192,6 +207,12 @@
 	t.is(command(['routes', 'set', 'lost', '{"pool":"nowhere","repeatable":true}'], operator).status, 3);
 	t.is(command(['status'], {...operator, SNIPERIDGE_OPERATORS_URL: 'http://127.0.0.1:1'}).status, 5);
 	t.is(command(['routes', 'set', 'lost', '{'], operator).status, 1);
+	const job = join(mkdtempSync(join(tmpdir(), 'sniperidge-')), 'job.json');
+	writeFileSync(job, '{"route":"task","tasks":[{"body":"\u00E9"}]}', 'latin1');
+	// A file in another encoding reaches the entry as it is, and is refused there.
+	const submitted = command(['jobs', 'submit', '--json', 'latin-1', job], {SNIPERIDGE_URL: urls.callers!, SNIPERIDGE_TOKEN: members.alpha});
+	t.is(submitted.status, 3);
+	t.regex(submitted.stdout, /UTF-8/v);
 	const file = join(mkdtempSync(join(tmpdir(), 'sniperidge-')), 'entry.json');
 	writeFileSync(file, JSON.stringify({
 		name: 'entry', zone: 'a/b', store: {url: 'http://127.0.0.1:1', timeoutMs: -1}, hurry: 1,
